platform: own keys in all regions whatever homes a route has

Cause: routes of one keyed service have different homes, so that no region was left in which a key could be owned.

--- a/ownership.go
+++ b/ownership.go
@@ -39,7 +39,7 @@
 }
 
 // AllRegions is the region of a key space that spans all regions of its service.
-const AllRegions RegionName = "*"
+const AllRegions RegionName = "all-regions"
 
 // KeySpace identifies the keys of one service that reside in one region.
 type KeySpace struct {
