--- a/cmd/geraniumworks/platform.go
+++ b/cmd/geraniumworks/platform.go
@@ -36,7 +36,7 @@
 			Store: p.Store(), HostList: p.HostList(), Servers: p.Servers(), Configs: p,
 			CallerProtocol: p.CallerProtocol(), ServerProtocol: p.ServerProtocol(), Timing: timing,
 			PlacementPolicy: []gwplace.Option{gwplace.WithStartWait(platformStartWait)},
-			Run:             p.Run, Leave: p.Leave,
+			Run:             p.Run, Leave: p.Leave, ReadPromptly: p.ReadPromptly,
 		}
 	}
 }
--- a/hosts.go
+++ b/hosts.go
@@ -43,8 +43,10 @@
 
 // Listing is one reading of the host list. It may lag behind the hosts' true state.
 type Listing struct {
-	Hosts   []HostEntry   `json:"hosts"`
-	Servers []ServerEntry `json:"servers"`
+	// Revision orders readings of Servers by different hosts, zero when the list does not say.
+	Revision uint64        `json:"revision,omitempty"`
+	Hosts    []HostEntry   `json:"hosts"`
+	Servers  []ServerEntry `json:"servers"`
 }
 
 // HostList is the platform's lagging list of live and leaving hosts.
--- a/internal/connection/gwpool/conn.go
+++ b/internal/connection/gwpool/conn.go
@@ -73,6 +73,9 @@
 func (c *Conn) Discard() bool {
 	c.watch(0)
 	sent := c.wire.seal()
+	if sent {
+		c.wire.reset()
+	}
 	c.close()
 	c.pool.metrics.discarded.Inc()
 	c.pool.freed(c.address)
--- a/internal/connection/gwpool/wire.go
+++ b/internal/connection/gwpool/wire.go
@@ -97,6 +97,15 @@
 	return w.Conn.Close()
 }
 
+// reset makes the close of the connection drop what has not been delivered yet, so that a request that was given up
+// does not reach a server that a cut or a full queue keeps it from.
+func (w *wire) reset() {
+	if tcp, ok := w.Conn.(*net.TCPConn); ok {
+		// A connection that is already closed has nothing left to drop.
+		_ = tcp.SetLinger(0)
+	}
+}
+
 // seal makes every later write fail and reports whether a byte of the current request has left or may leave.
 func (w *wire) seal() bool {
 	w.mu.Lock()
--- a/internal/process/gwhost/backend.go
+++ b/internal/process/gwhost/backend.go
@@ -31,6 +31,8 @@
 	// Run keeps the connection to the outside, nil when nothing needs to run. Leave says that this host is leaving.
 	Run   func(ctx context.Context) error
 	Leave func()
+	// ReadPromptly is given a function that says whether other hosts rely on what this one reads.
+	ReadPromptly func(prompt func() bool)
 }
 
 // ownBackend returns the project's own interfaces to the outside.
--- a/internal/process/gwhost/host.go
+++ b/internal/process/gwhost/host.go
@@ -108,7 +108,8 @@
 	} else if h.backend, err = h.ownBackend(); err != nil {
 		return err
 	}
-	h.members = gwmembers.New(h.backend.HostList, gwmembers.WithLogger(h.log), gwmembers.WithRegisterer(h.registry))
+	h.members = gwmembers.New(h.backend.HostList, gwmembers.WithLogger(h.log),
+		gwmembers.WithNewer(h.keepListing), gwmembers.WithRegisterer(h.registry))
 	clientOptions := []gwpeer.ClientOption{gwpeer.WithClientRegisterer(h.registry)}
 	if h.tls != nil {
 		clientOptions = append(clientOptions, gwpeer.WithClientTLS(h.tls))
@@ -188,6 +189,9 @@
 		gwcontrol.WithLogger(h.log),
 		gwcontrol.WithRegisterer(h.registry),
 	)
+	if h.backend.ReadPromptly != nil {
+		h.backend.ReadPromptly(h.feed.Reads)
+	}
 	h.admin = gwadmin.New(
 		gwadmin.WithSelf(h.self, h.instance),
 		gwadmin.WithTable(h.table),
@@ -200,6 +204,9 @@
 
 // apply puts an item of the feed in force.
 func (h *Host) apply(item gw.Item) error {
+	if item.Topic == topicListing {
+		return h.offerListing(item)
+	}
 	if err := h.table.Apply(item); err != nil {
 		return err
 	}
--- a/internal/process/gwlease/core.go
+++ b/internal/process/gwlease/core.go
@@ -144,6 +144,7 @@
 	if cfg.Version < c.cfg.Version {
 		return
 	}
+	c.coolReturning(cfg)
 	c.cfg = cfg
 	if s, ok := cfg.Service(c.o.cell.Service); ok {
 		c.service = s
--- a/internal/process/gwlease/hold.go
+++ b/internal/process/gwlease/hold.go
@@ -99,3 +99,14 @@
 	}
 	s.entry, s.listed = e, true
 }
+
+// coolReturning counts servers that come back into service as cold, since they may have lost their warmth unused.
+func (c *Core) coolReturning(cfg gw.Config) {
+	warmup := time.Duration(c.service.WarmupMilliseconds) * time.Millisecond
+	for _, s := range c.byName {
+		was := c.cfg.ServersOut(s.entry.Name, s.entry.DataCentre)
+		if was && !cfg.ServersOut(s.entry.Name, s.entry.DataCentre) {
+			s.coldUntil = later(s.coldUntil, c.now.Add(warmup))
+		}
+	}
+}
--- a/internal/process/gwmembers/members.go
+++ b/internal/process/gwmembers/members.go
@@ -31,6 +31,9 @@
 	log   *slog.Logger
 	reads *prometheus.CounterVec
 
+	// newer is told of each newer reading of this host.
+	newer func(gw.Listing)
+
 	mu      sync.Mutex
 	listing gw.Listing
 	number  uint64
@@ -46,6 +49,11 @@
 	return func(m *Members) { m.log = l }
 }
 
+// WithNewer sets a function that is told of each newer reading of this host.
+func WithNewer(newer func(gw.Listing)) Option {
+	return func(m *Members) { m.newer = newer }
+}
+
 // WithRegisterer registers the counters.
 func WithRegisterer(r prometheus.Registerer) Option {
 	return func(m *Members) { r.MustRegister(m.reads) }
@@ -54,8 +62,9 @@
 // New returns Members that read a host list.
 func New(list gw.HostList, opts ...Option) *Members {
 	m := &Members{
-		list: list,
-		log:  slog.New(slog.DiscardHandler),
+		list:  list,
+		log:   slog.New(slog.DiscardHandler),
+		newer: func(gw.Listing) {},
 		reads: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "geraniumworks_host_list_reads_total",
 			Help: "Readings of the host list by result.",
@@ -102,6 +111,13 @@
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	listing, err := m.list.Hosts(ctx)
+	if m.take(listing, err) {
+		m.newer(listing)
+	}
+}
+
+// take applies a reading and reports whether it is the newest one known.
+func (m *Members) take(listing gw.Listing, err error) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if err != nil {
@@ -110,21 +126,39 @@
 			m.log.Warn("host list cannot be read", "error", err)
 		}
 		m.failing = true
-		return
+		return false
 	}
 	m.reads.WithLabelValues("ok").Inc()
 	if m.failing {
 		m.log.Info("host list can be read again")
 	}
 	m.failing = false
+	if listing.Revision < m.listing.Revision {
+		// Another host has read newer entries of servers.
+		listing.Servers, listing.Revision = m.listing.Servers, m.listing.Revision
+	}
 	// Each new number makes the controllers of all cells of the region order the hosts again.
 	m.equal++
+	newest := listing.Revision > m.listing.Revision
 	if m.number > 0 && m.equal < repeatAfter && same(listing, m.listing) {
-		return
+		m.listing.Revision = listing.Revision
+		return newest
 	}
 	m.equal = 0
 	m.listing = listing
 	m.number++
+	return newest
+}
+
+// Offer takes over the servers in a reading of another host when it is newer than the own one.
+func (m *Members) Offer(listing gw.Listing) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if listing.Revision <= m.listing.Revision {
+		return
+	}
+	m.listing.Servers, m.listing.Revision = listing.Servers, listing.Revision
+	m.number++
 }
 
 // same reports whether two listings have the same entries in the same order.
--- a/internal/request/gwdispatch/lease.go
+++ b/internal/request/gwdispatch/lease.go
@@ -55,7 +55,10 @@
 	names := make(map[gw.ServerName]bool, len(listed))
 	for _, entry := range listed {
 		names[entry.Name] = true
-		d.server(service, c, entry.Name).step(func(st *serverState, now time.Time) { st.lease(now, entry, end, version) })
+		d.server(service, c, entry.Name).step(func(st *serverState, now time.Time) {
+			st.pace.set(d.origin, entry)
+			st.lease(now, entry, end, version)
+		})
 	}
 	for name, s := range c.servers {
 		if names[name] {
--- a/internal/request/gwdispatch/server.go
+++ b/internal/request/gwdispatch/server.go
@@ -20,6 +20,7 @@
 	incarnation, leased gw.Incarnation
 
 	level level
+	pace  pace
 	// busy holds the requests that occupy slots; held of them have ended for the caller.
 	busy  []*request
 	held  int
@@ -59,7 +60,7 @@
 		return
 	}
 	if s.queue.length == 0 {
-		if ok, fractional := s.level.admits(now, s.limits, s.server.Slots, len(s.busy)); ok {
+		if ok, fractional := s.admits(now); ok {
 			s.start(now, r, fractional)
 			return
 		}
@@ -104,7 +105,16 @@
 	if usable <= 0 {
 		return 0
 	}
-	return time.Duration(float64(est.Mean) * float64(s.queue.ahead(tenant)+1) / usable)
+	ahead := s.queue.ahead(tenant)
+	return max(time.Duration(float64(est.Mean)*float64(ahead+1)/usable), s.pace.wait(now, ahead))
+}
+
+// admits reports whether one more request may start now, and whether it uses the slot that may be used in part only.
+func (s *serverState) admits(now time.Time) (ok, fractional bool) {
+	if !s.pace.admits(now) {
+		return false, false
+	}
+	return s.level.admits(now, s.limits, s.server.Slots, len(s.busy))
 }
 
 // late returns the refusal of a request that cannot get a slot in time: because of its own deadline when it needs
@@ -135,6 +145,7 @@
 	r.index = len(s.busy)
 	s.busy = append(s.busy, r)
 	s.level.started(now, s.limits, s.server.Slots)
+	s.pace.started(now)
 	if r.ready != nil {
 		s.decided = append(s.decided, r)
 	}
@@ -238,7 +249,7 @@
 	}
 	est := s.times.estimate(now)
 	for s.queue.length > 0 {
-		ok, fractional := s.level.admits(now, s.limits, s.server.Slots, len(s.busy))
+		ok, fractional := s.admits(now)
 		if !ok {
 			return
 		}
@@ -267,6 +278,7 @@
 		earlier(s.queue.earliest())
 		earlier(s.leaseEnd)
 		earlier(s.level.wake(now))
+		earlier(s.pace.wake(now))
 	}
 	if s.held > 0 && (s.queue.length > 0 || len(s.releases) > 0) {
 		for _, r := range s.busy {
--- a/internal/version/gwfeed/feed.go
+++ b/internal/version/gwfeed/feed.go
@@ -98,6 +98,17 @@
 	return nil
 }
 
+// Keep holds an item that every data centre reads for itself, for the hosts that pull from this one.
+func (f *Feed) Keep(item gw.Item) error {
+	return f.put("own", []gw.Item{item})
+}
+
+// Reads reports whether the hosts of this data centre rely on what this host reads.
+func (f *Feed) Reads() bool {
+	relays := Relays(f.hosts(), f.self.DataCentre)
+	return len(relays) == 0 || relays[0].Name == f.self.Name
+}
+
 // Serve answers a pull of another host. It waits for news as long as the request allows.
 func (f *Feed) Serve(ctx context.Context, req gw.PullRequest) gw.PullReply {
 	wait := min(max(time.Duration(req.WaitMilliseconds)*time.Millisecond, 0), pullWait)
