placement: own ranges of ordered keys by the requests of the last seconds

Cause: busy keys are neighbours, so that ranges of equal width left one server with several times the load of another; the policy for hashed keys needs 30 s to see it. A relay noticed a caller that left only after the body of its request was read. Change: gwspread cuts busy blocks by reported arrivals and fills idle servers; dispatchers report positions and service times, directories show loads; bodies up to 512 KB are read before a slot is asked for.

--- a/cmd/geraniumworks/platform.go
+++ b/cmd/geraniumworks/platform.go
@@ -10,7 +10,6 @@
 	"github.com/geraniumworks/geraniumworks/internal/process/gwhost"
 	"github.com/geraniumworks/geraniumworks/internal/process/gwlease"
 	"github.com/geraniumworks/geraniumworks/internal/process/gwsettings"
-	"github.com/geraniumworks/geraniumworks/internal/version/gwplace"
 	gwplatform "github.com/geraniumworks/geraniumworks/platform"
 )
 
@@ -35,12 +34,7 @@
 		return gwhost.Backend{
 			Store: p.Store(), HostList: p.HostList(), Servers: p.Servers(), Configs: p,
 			CallerProtocol: p.CallerProtocol(), ServerProtocol: p.ServerProtocol(), Timing: timing,
-			PlacementPolicy: []gwplace.Option{gwplace.WithStartWait(platformStartWait)},
-			Run:             p.Run, Leave: p.Leave, ReadPromptly: p.ReadPromptly,
+			Run: p.Run, Leave: p.Leave, ReadPromptly: p.ReadPromptly,
 		}
 	}
 }
-
-// platformStartWait is how long the first assignment waits for servers that have not answered yet. Traffic starts 8 s
-// after the hosts.
-const platformStartWait = 2 * time.Second
--- a/internal/process/gwhost/backend.go
+++ b/internal/process/gwhost/backend.go
@@ -14,6 +14,7 @@
 	"github.com/geraniumworks/geraniumworks/internal/request/gwforward"
 	"github.com/geraniumworks/geraniumworks/internal/version/gwfeed"
 	"github.com/geraniumworks/geraniumworks/internal/version/gwplace"
+	"github.com/geraniumworks/geraniumworks/internal/version/gwspread"
 	"github.com/geraniumworks/geraniumworks/internal/version/gwtable"
 )
 
@@ -23,11 +24,10 @@
 	HostList gw.HostList
 	Servers  gw.ServerControl
 	// Configs is where operators publish. Nil means that they publish through the store.
-	Configs         gw.ConfigSource
-	CallerProtocol  gw.CallerProtocol
-	ServerProtocol  gw.ServerProtocol
-	Timing          gwlease.Timing
-	PlacementPolicy []gwplace.Option
+	Configs        gw.ConfigSource
+	CallerProtocol gw.CallerProtocol
+	ServerProtocol gw.ServerProtocol
+	Timing         gwlease.Timing
 	// Run keeps the connection to the outside, nil when nothing needs to run. Leave says that this host is leaving.
 	Run   func(ctx context.Context) error
 	Leave func()
@@ -63,6 +63,14 @@
 	}, nil
 }
 
+// placer returns the placement policy of a cell.
+func (h *Host) placer(id gw.CellID) gw.Placer {
+	if service, ok := h.table.State().Config.Service(id.Service); ok && service.OrderedKeys {
+		return gwspread.New()
+	}
+	return gwplace.New()
+}
+
 // configSource returns where the feed reads configurations.
 func (h *Host) configSource() gwfeed.Source {
 	if h.backend.Configs != nil {
--- a/internal/process/gwhost/host.go
+++ b/internal/process/gwhost/host.go
@@ -22,7 +22,6 @@
 	"github.com/geraniumworks/geraniumworks/internal/request/gwrelay"
 	"github.com/geraniumworks/geraniumworks/internal/request/gwretry"
 	"github.com/geraniumworks/geraniumworks/internal/version/gwfeed"
-	"github.com/geraniumworks/geraniumworks/internal/version/gwplace"
 	"github.com/geraniumworks/geraniumworks/internal/version/gwtable"
 	"github.com/google/uuid"
 	"github.com/prometheus/client_golang/prometheus"
@@ -185,7 +184,7 @@
 		gwcontrol.WithListing(h.members.Listing),
 		gwcontrol.WithPublisher(h.feed),
 		gwcontrol.WithReady(h.feed.Ready()),
-		gwcontrol.WithPlacer(func(gw.CellID) gw.Placer { return gwplace.New(h.backend.PlacementPolicy...) }),
+		gwcontrol.WithPlacer(h.placer),
 		gwcontrol.WithLogger(h.log),
 		gwcontrol.WithRegisterer(h.registry),
 	)
--- a/internal/process/gwlease/directory.go
+++ b/internal/process/gwlease/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	gw "github.com/geraniumworks/geraniumworks"
 )
@@ -9,6 +10,7 @@
 type directoryState struct {
 	published gw.Directory
 	sequence  uint64
+	at        time.Time
 }
 
 // directorySeen learns servers from directories. One of the own cell names servers and dispatchers that the
@@ -49,9 +51,14 @@
 		return
 	}
 	servers := c.directoryServers()
-	if c.directory.sequence > 0 && slices.Equal(servers, c.directory.published.Servers) {
+	if c.service.OrderedKeys {
+		servers = c.withLoads(servers)
+	}
+	if c.directory.sequence > 0 && (slices.Equal(servers, c.directory.published.Servers) ||
+		c.now.Sub(c.directory.at) < loadEvery && sameButLoads(servers, c.directory.published.Servers)) {
 		return
 	}
+	c.directory.at = c.now
 	c.directory.sequence++
 	c.directory.published = gw.Directory{
 		Cell: c.o.cell, Region: c.o.region, Space: c.keySpace(), Epoch: c.control.epoch, Sequence: c.directory.sequence,
--- a/internal/process/gwlease/dispatch.go
+++ b/internal/process/gwlease/dispatch.go
@@ -180,6 +180,9 @@
 		if s.dispatch.host == h.entry.Name {
 			s.dispatch.report = d
 			c.noteAnswers(s, d)
+			if c.service.OrderedKeys {
+				s.noteArrivals(c.now, d)
+			}
 		}
 	}
 	if first {
--- /dev/null
+++ b/internal/process/gwlease/loads.go
@@ -0,0 +1,130 @@
+package gwlease
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	gw "github.com/geraniumworks/geraniumworks"
+)
+
+const (
+	// arrivalWindow is the time over which arrivals are counted. A server gets 20 requests a second, so that shorter
+	// windows are mostly noise; hot keys last for about five seconds.
+	arrivalWindow = 2500 * time.Millisecond
+	// loadEvery bounds how often a directory is published because of loads alone.
+	loadEvery = 500 * time.Millisecond
+	// usualMilliseconds is the service time of a server of which nothing is known, when no other one is known either.
+	usualMilliseconds = 100
+)
+
+// arrival is a reported request.
+type arrival struct {
+	at       time.Time
+	position gw.Position
+	// weight is the number of requests that it stands for.
+	weight float64
+}
+
+// noteArrivals keeps the positions in a dispatcher's status.
+func (s *server) noteArrivals(now time.Time, d gw.DispatchedServer) {
+	if d.MeanMilliseconds > 0 {
+		s.meanMilliseconds = d.MeanMilliseconds
+	}
+	if s.arrivedFrom.IsZero() {
+		s.arrivedFrom = now
+	}
+	if len(d.Positions) > 0 {
+		weight := float64(d.Arrivals) / float64(len(d.Positions))
+		for _, p := range d.Positions {
+			s.arrivals = append(s.arrivals, arrival{at: now, position: p, weight: weight})
+		}
+	}
+	s.dropArrivals(now)
+}
+
+func (s *server) dropArrivals(now time.Time) {
+	n := 0
+	for n < len(s.arrivals) && now.Sub(s.arrivals[n].at) >= arrivalWindow {
+		n++
+	}
+	s.arrivals = slices.Delete(s.arrivals, 0, n)
+}
+
+// load returns the requests a second of the last seconds.
+func (s *server) load(now time.Time) float64 {
+	total := 0.0
+	for _, a := range s.arrivals {
+		total += a.weight
+	}
+	return total / s.arrivalSeconds(now)
+}
+
+// arrivalSeconds returns the time that the kept arrivals cover. It is at least half of the window, so that the first
+// request after a change of dispatcher does not look like a load.
+func (s *server) arrivalSeconds(now time.Time) float64 {
+	covered := min(max(now.Sub(s.arrivedFrom), arrivalWindow/2), arrivalWindow)
+	return covered.Seconds()
+}
+
+// capacity returns the requests a second that the server bears with all slots in use, from the time that it takes for
+// each. A server of which nothing is known is taken for a usual one of the cell.
+func (c *Core) capacity(s *server) float64 {
+	if full := c.service.Limits.RequestsPerSecondPerServer; full > 0 {
+		return full
+	}
+	mean := s.meanMilliseconds
+	if mean <= 0 {
+		mean = c.usualMean()
+	}
+	bears := float64(c.slots(s)) * 1000 / mean
+	if cold := c.service.ColdRequestsPerSecond; cold > 0 && c.now.Before(s.coldUntil) {
+		return min(bears, cold)
+	}
+	return bears
+}
+
+func (c *Core) usualMean() float64 {
+	total, n := 0.0, 0
+	for _, s := range c.byName {
+		if s.meanMilliseconds > 0 {
+			total += s.meanMilliseconds
+			n++
+		}
+	}
+	if n == 0 {
+		return usualMilliseconds
+	}
+	return total / float64(n)
+}
+
+// arrivalsView returns the arrivals at the cell's servers, ordered by position.
+func (c *Core) arrivalsView() gw.Arrivals {
+	var view gw.Arrivals
+	for _, s := range c.byName {
+		seconds := s.arrivalSeconds(c.now)
+		for _, a := range s.arrivals {
+			view.Samples = append(view.Samples, gw.Arrival{Position: a.position, Weight: a.weight / seconds})
+		}
+	}
+	slices.SortFunc(view.Samples, func(x, y gw.Arrival) int { return cmp.Compare(x.Position, y.Position) })
+	return view
+}
+
+// withLoads adds load and capacity to the entries of a directory, rounded so that noise does not change them.
+func (c *Core) withLoads(servers []gw.DirectoryServer) []gw.DirectoryServer {
+	for i, s := range c.byName {
+		servers[i].Load = math.Round(s.load(c.now))
+		servers[i].Capacity = math.Round(c.capacity(s))
+	}
+	return servers
+}
+
+// sameButLoads reports whether two lists differ in loads and capacities only.
+func sameButLoads(x, y []gw.DirectoryServer) bool {
+	return slices.EqualFunc(x, y, func(a, b gw.DirectoryServer) bool {
+		a.Load, a.Capacity, b.Load, b.Capacity = 0, 0, 0, 0
+		return a == b
+	})
+}
--- a/internal/process/gwlease/server.go
+++ b/internal/process/gwlease/server.go
@@ -48,6 +48,11 @@
 	lifeRevision gw.Revision
 	// uncertainUntil is the time until which a grant without answer may still be applied.
 	uncertainUntil time.Time
+	// arrivals are the requests of the last seconds that a dispatcher has reported since arrivedFrom, and
+	// meanMilliseconds is the last known mean time that the server takes for one.
+	arrivals         []arrival
+	arrivedFrom      time.Time
+	meanMilliseconds float64
 	// coldUntil is when the server bears its full load.
 	coldUntil time.Time
 
@@ -122,6 +127,7 @@
 	for name, s := range c.servers {
 		fresh := &server{
 			entry: s.entry, listed: s.listed, divided: s.divided, coldUntil: s.coldUntil, reached: c.firstEpoch(),
+			meanMilliseconds: s.meanMilliseconds,
 		}
 		fresh.dispatch.reset(c.firstEpoch())
 		c.coolDown(fresh)
--- a/internal/process/gwlease/view.go
+++ b/internal/process/gwlease/view.go
@@ -56,14 +56,20 @@
 	for _, s := range c.byName {
 		v.Servers = append(v.Servers, gw.ServerView{
 			Name: s.entry.Name, DataCentre: c.o.cell.DataCentre, State: c.state(s),
-			Capacity: c.service.Limits.RequestsPerSecondPerServer, WarmPercent: s.warm.percent,
-			Load: s.dispatch.report.RequestsPerSecond,
+			Capacity: c.viewCapacity(s), WarmPercent: s.warm.percent,
+			Load: c.viewLoad(s),
 		})
 		for first, load := range s.dispatch.report.RangeLoads {
 			v.RangeLoads[first] += load
 		}
 		v.Hot = append(v.Hot, s.dispatch.report.Hot...)
 	}
+	if c.service.OrderedKeys {
+		v.Arrivals = c.arrivalsView()
+		v.Servers = append(v.Servers, c.foreignServers(nil)...)
+		slices.SortFunc(v.Servers, func(x, y gw.ServerView) int { return cmp.Compare(x.Name, y.Name) })
+		return v, true
+	}
 	estimates := loadsByShare(v.Assignment, v.Servers)
 	v.Servers = append(v.Servers, c.foreignServers(estimates)...)
 	slices.SortFunc(v.Servers, func(x, y gw.ServerView) int { return cmp.Compare(x.Name, y.Name) })
@@ -71,6 +77,22 @@
 	return v, true
 }
 
+// viewCapacity returns the capacity that the placement policy sees.
+func (c *Core) viewCapacity(s *server) float64 {
+	if c.service.OrderedKeys {
+		return c.capacity(s)
+	}
+	return c.service.Limits.RequestsPerSecondPerServer
+}
+
+// viewLoad returns the load that the placement policy sees.
+func (c *Core) viewLoad(s *server) float64 {
+	if c.service.OrderedKeys {
+		return s.load(c.now)
+	}
+	return s.dispatch.report.RequestsPerSecond
+}
+
 // loadsByShare estimates the load of every owner from its share of the positions and from the load that the known
 // servers have on theirs. Directories carry no loads, since they are sent to every host; without an estimate the
 // servers of other data centres would look idle and attract all moves.
@@ -101,11 +123,15 @@
 	var servers []gw.ServerView
 	for dc, d := range sorted(c.foreign) {
 		for _, e := range d.Servers {
-			servers = append(servers, gw.ServerView{
+			view := gw.ServerView{
 				Name: e.Name, DataCentre: dc, State: e.State,
 				Capacity: c.service.Limits.RequestsPerSecondPerServer, WarmPercent: 100,
 				Load: estimates[e.Name],
-			})
+			}
+			if c.service.OrderedKeys {
+				view.Capacity, view.Load = e.Capacity, e.Load
+			}
+			servers = append(servers, view)
 		}
 	}
 	return servers
--- a/internal/request/gwdispatch/observe.go
+++ b/internal/request/gwdispatch/observe.go
@@ -76,6 +76,8 @@
 	}
 	s.rates.report(now, &out)
 	s.answers, s.failures = 0, 0
+	out.Arrivals, out.Positions = s.arrivals.take()
+	out.MeanMilliseconds = float64(s.times.estimate(now).Mean.Microseconds()) / 1000
 	return out
 }
 
--- a/internal/request/gwdispatch/server.go
+++ b/internal/request/gwdispatch/server.go
@@ -27,8 +27,9 @@
 	queue fairQueue
 	times *times
 	// usual is the smoothed service time of successful answers. It outlasts restarts.
-	usual time.Duration
-	rates rates
+	usual    time.Duration
+	rates    rates
+	arrivals arrivals
 	// answers and failures count since the last status; recent ones are kept for outlier detection.
 	answers, failures int64
 	recent            recentResults
@@ -54,6 +55,9 @@
 		return
 	}
 	s.rates.add(now, index, r.Position)
+	if r.HasKey {
+		s.arrivals.add(r.Position)
+	}
 	est := s.times.estimate(now)
 	if s.tooShort(now, r, est.P50) {
 		s.refuse(r, gw.Refuse(gw.ReasonDeadlineTooShort, "less time is left than half of the server's answers take"))
--- a/internal/request/gwentry/call.go
+++ b/internal/request/gwentry/call.go
@@ -1,10 +1,8 @@
 package gwentry
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -16,10 +14,6 @@
 	"github.com/geraniumworks/geraniumworks/internal/request/gwretry"
 )
 
-// maxBufferedBytes is the size up to which request bodies are read before the request is sent, so that they can
-// be sent again and a slow caller does not occupy a slot.
-const maxBufferedBytes = 64 << 10
-
 // call is one request of a caller.
 type call struct {
 	handler *Handler
@@ -160,42 +154,32 @@
 
 // readBody reads a small body whole and prepares the streaming of others.
 func (c *call) readBody() *gw.Refusal {
-	n := c.in.ContentLength
-	switch {
-	case n == 0:
+	if c.in.ContentLength == 0 {
 		return nil
-	case n > 0 && n <= maxBufferedBytes && c.in.Header.Get("Expect") == "":
-		return c.buffer(n)
 	}
-	expects := strings.EqualFold(c.in.Header.Get("Expect"), "100-continue")
-	c.body = gwforward.Streamed(c.in.Body, n, c.bodyLimit(), expects)
-	// A connection that does not support full duplex, as in HTTP/2, has no need for it.
-	_ = c.rc.EnableFullDuplex()
-	return nil
-}
-
-// bodyLimit returns the largest permitted request body in bytes.
-func (c *call) bodyLimit() int64 {
-	return gwforward.BodyLimit(c.service.Limits)
-}
-
-// buffer reads a body of n bytes. The buffer grows with what arrives, so that callers that declare a body and
-// do not send it occupy no memory.
-func (c *call) buffer(n int64) *gw.Refusal {
 	// A writer without deadlines, as in tests, has no slow caller either.
 	_ = c.rc.SetReadDeadline(c.deadline)
-	const first = 4 << 10
-	buf := bytes.NewBuffer(make([]byte, 0, min(n, first)+bytes.MinRead))
-	_, err := io.CopyN(buf, c.in.Body, n)
+	var err error
+	c.body, err = gwforward.Receive(c.in, c.bodyLimit(), c.route.Kind == gw.RouteByMethod)
 	switch {
 	case err == nil:
-		c.body = gwforward.Buffered(buf.Bytes())
-		return nil
+	case errors.Is(err, gwforward.ErrBodyTooLarge):
+		return gw.Refuse(gw.ReasonBodyTooLarge, "the request body is too large")
 	case !time.Now().Before(c.deadline):
 		return gw.Refuse(gw.ReasonDeadlineTooShort, "the request body did not arrive in time")
 	default:
 		return gw.Refuse(gw.ReasonBadRequest, "the request body did not arrive whole")
 	}
+	if !c.body.Concurrent() {
+		// A connection that does not support full duplex, as in HTTP/2, has no need for it.
+		_ = c.rc.EnableFullDuplex()
+	}
+	return nil
+}
+
+// bodyLimit returns the largest permitted request body in bytes.
+func (c *call) bodyLimit() int64 {
+	return gwforward.BodyLimit(c.service.Limits)
 }
 
 // final returns the refusal for the caller. It is not-run only when no attempt may have run.
--- a/internal/request/gwentry/entry_test.go
+++ b/internal/request/gwentry/entry_test.go
@@ -37,7 +37,8 @@
 			fmt.Fprintf(w, "%x", sha256.Sum256(data))
 		})
 		sys := newSystem(t, setup{servers: map[gw.ServerName]string{"s1": server}, divided: true, local: local})
-		for _, size := range []int{0, 1, 4096, 64 << 10, 64<<10 + 1, 3 << 20} {
+		sizes := []int{0, 1, 4096, 64 << 10, 64<<10 + 1, 512 << 10, 512<<10 + 1, 3 << 20}
+		for _, size := range sizes {
 			body := bytes.Repeat([]byte("x"), size)
 			answer := sys.do("POST", "/names/a%2Fb/c?q=%20&r", bytes.NewReader(body),
 				"Idempotency-Key", "op-1", "Gw-Position", "forged", "Gw_token", "forged", "Te", "trailers",
@@ -61,7 +62,7 @@
 			require.Equal(t, "run-1", answer.header.Get(gw.HeaderIncarnation))
 		}
 		require.Equal(t, "a/b", sys.router.calls[0].Key)
-		eventually(t, func() bool { open, results := sys.dispatcher.state(); return open == 0 && len(results) == 6 }, "slots")
+		eventually(t, func() bool { open, results := sys.dispatcher.state(); return open == 0 && len(results) == len(sizes) }, "slots")
 		require.Equal(t, 1, sys.pool.Open(server), "the connection to the server was not reused")
 	})
 }
--- a/internal/request/gwentry/fault_test.go
+++ b/internal/request/gwentry/fault_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	gw "github.com/geraniumworks/geraniumworks"
+	"github.com/geraniumworks/geraniumworks/internal/request/gwforward"
 )
 
 // rawServer answers every request with what answer returns, and closes the connection when that ends in "!".
@@ -118,9 +119,9 @@
 		limits:  gw.ServiceLimits{RetryPercent: 10},
 		servers: map[gw.ServerName]string{"s1": refusing, "s2": taking},
 	})
-	require.Equal(t, 200, sys.do("POST", "/claims/1", strings.NewReader(strings.Repeat("x", 64<<10))).status)
-	require.EqualValues(t, 64<<10, length.Load())
-	got := sys.do("POST", "/claims/1", strings.NewReader(strings.Repeat("x", 64<<10+1)))
+	require.Equal(t, 200, sys.do("POST", "/claims/1", strings.NewReader(strings.Repeat("x", gwforward.MaxBufferedBytes))).status)
+	require.EqualValues(t, gwforward.MaxBufferedBytes, length.Load())
+	got := sys.do("POST", "/claims/1", strings.NewReader(strings.Repeat("x", gwforward.MaxBufferedBytes+1)))
 	require.Equal(t, 503, got.status)
 	require.Equal(t, gw.OutcomeNotRun, got.outcome())
 }
--- a/internal/request/gwforward/limits.go
+++ b/internal/request/gwforward/limits.go
@@ -20,15 +20,3 @@
 	}
 	return DefaultBodyBytes
 }
-
-// BoundBody sets the limit of the body from the service's limits, and refuses a declared length above it.
-func (r *Request) BoundBody() *gw.Refusal {
-	if r.Body == nil {
-		return nil
-	}
-	r.Body.limit = BodyLimit(r.Limits)
-	if r.Body.length > r.Body.limit {
-		return gw.Refuse(gw.ReasonBodyTooLarge, "the request body is too large")
-	}
-	return nil
-}
--- a/internal/request/gwrelay/parse.go
+++ b/internal/request/gwrelay/parse.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	gw "github.com/geraniumworks/geraniumworks"
@@ -56,9 +55,5 @@
 		}
 		req.Target.HasKey, req.Target.Token = true, gw.Revision(revision)
 	}
-	if in.ContentLength != 0 {
-		expects := strings.EqualFold(in.Header.Get("Expect"), "100-continue")
-		req.Body = gwforward.Streamed(in.Body, in.ContentLength, 0, expects)
-	}
 	return req, nil
 }
--- a/internal/request/gwrelay/relay.go
+++ b/internal/request/gwrelay/relay.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"time"
@@ -139,17 +140,20 @@
 	if refusal == nil {
 		refusal = r.check(req)
 	}
+	if refusal == nil {
+		refusal = receive(rc, req, in)
+	}
 	if refusal != nil {
 		r.count(refusal.Reason)
 		refuse(w, rc, in.ContentLength != 0, refusal)
 		return
 	}
-	if req.Body != nil {
+	if !req.Body.Concurrent() {
 		// Without full duplex the server reads the rest of the body before it sends the head of an answer.
 		// A connection that does not support it needs nothing.
 		_ = rc.EnableFullDuplex()
-		defer req.Body.Finish(rc)
 	}
+	defer req.Body.Finish(rc)
 	answer, refusal := r.Deliver(in.Context(), req)
 	if refusal != nil {
 		refuse(w, rc, !req.Body.Whole(), refusal)
@@ -193,5 +197,24 @@
 		return refusal
 	}
 	req.Limits = service.Limits
-	return req.BoundBody()
+	return nil
+}
+
+// receive reads a small body whole and prepares the streaming of others.
+func receive(rc *http.ResponseController, req *gwforward.Request, in *http.Request) *gw.Refusal {
+	if in.ContentLength == 0 {
+		return nil
+	}
+	// A writer without deadlines, as in tests, has no slow sender either.
+	_ = rc.SetReadDeadline(req.Deadline)
+	var err error
+	req.Body, err = gwforward.Receive(in, gwforward.BodyLimit(req.Limits), true)
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, gwforward.ErrBodyTooLarge):
+		return gw.Refuse(gw.ReasonBodyTooLarge, "the request body is too large")
+	default:
+		return gw.Refuse(gw.ReasonBadRequest, "the request body did not arrive whole")
+	}
 }
--- /dev/null
+++ b/internal/version/gwspread/draft.go
@@ -0,0 +1,225 @@
+package gwspread
+
+import (
+	"cmp"
+	"slices"
+	"sort"
+
+	gw "github.com/geraniumworks/geraniumworks"
+)
+
+// server is a server of the view with the effects of the plan so far.
+type server struct {
+	gw.ServerView
+	own    bool
+	load   float64
+	ranges []int
+}
+
+func (s *server) utilisation() float64 {
+	return s.load / max(s.Capacity, minCapacity)
+}
+
+// minCapacity keeps a server without known capacity from looking infinitely loaded.
+const minCapacity = 0.1
+
+// keyRange is a range of the assignment.
+type keyRange struct {
+	gw.Range
+	owner gw.ServerName
+	load  float64
+	// touched is set when the plan already changes the range.
+	touched bool
+}
+
+// draft is a plan in progress.
+type draft struct {
+	p       *Policy
+	view    *gw.PlacementView
+	ranges  []keyRange
+	servers []server
+	index   map[gw.ServerName]int
+	// up holds the indices of the servers that may get ranges, ordered by name.
+	up      []int
+	unowned bool
+	// level is the utilisation of all servers that are up together.
+	level float64
+	plan  gw.Plan
+}
+
+func (p *Policy) read(v *gw.PlacementView) *draft {
+	d := &draft{p: p, view: v, index: make(map[gw.ServerName]int, len(v.Servers)), unowned: true}
+	for _, sv := range v.Servers {
+		d.index[sv.Name] = len(d.servers)
+		d.servers = append(d.servers, server{ServerView: sv, own: sv.DataCentre == v.DataCentre, load: sv.Load})
+	}
+	for i, s := range d.servers {
+		if s.State == gw.ServerUp {
+			d.up = append(d.up, i)
+		}
+	}
+	d.readRanges()
+	d.readShifts()
+	load, capacity := 0.0, 0.0
+	for i := range d.servers {
+		load += max(d.servers[i].load, 0)
+	}
+	for _, k := range d.up {
+		capacity += d.servers[k].Capacity
+	}
+	d.level = load / max(capacity, minCapacity)
+	return d
+}
+
+func (d *draft) readRanges() {
+	a := d.view.Assignment
+	for i, r := range a.Ranges {
+		span := a.Span(i)
+		d.ranges = append(d.ranges, keyRange{Range: span, owner: r.Owner, load: d.loadOf(span)})
+		d.unowned = d.unowned && r.Owner == ""
+		if k, ok := d.index[r.Owner]; ok {
+			d.servers[k].ranges = append(d.servers[k].ranges, i)
+		}
+	}
+}
+
+// samples returns the arrivals in a span.
+func (d *draft) samples(span gw.Range) []gw.Arrival {
+	all := d.view.Arrivals.Samples
+	from := sort.Search(len(all), func(i int) bool { return all[i].Position >= span.First })
+	to := sort.Search(len(all), func(i int) bool { return all[i].Position > span.Last })
+	return all[from:to]
+}
+
+func (d *draft) loadOf(span gw.Range) float64 {
+	load := 0.0
+	for _, s := range d.samples(span) {
+		load += s.Weight
+	}
+	return load
+}
+
+// readShifts corrects the reported loads by the moves that they do not show yet.
+func (d *draft) readShifts() {
+	now := d.view.Now
+	d.p.shifts = slices.DeleteFunc(d.p.shifts, func(s shift) bool {
+		if !s.movedAt.IsZero() {
+			return now.Sub(s.movedAt) >= d.p.s.settle
+		}
+		return now.Sub(s.proposedAt) >= d.p.s.moveTimeout
+	})
+	for i := range d.p.shifts {
+		s := &d.p.shifts[i]
+		if s.movedAt.IsZero() && d.view.Assignment.At(s.first).Owner == s.to {
+			s.movedAt = now
+		}
+		hidden := s.load
+		if !s.movedAt.IsZero() {
+			hidden *= 1 - now.Sub(s.movedAt).Seconds()/d.p.s.settle.Seconds()
+		}
+		d.addLoad(s.from, -hidden)
+		d.addLoad(s.to, hidden)
+	}
+}
+
+func (d *draft) addLoad(name gw.ServerName, load float64) {
+	if k, ok := d.index[name]; ok {
+		d.servers[k].load += load
+	}
+}
+
+// move adds the move of a span, which is a range or was cut out of one, to the plan.
+func (d *draft) move(first gw.Position, from gw.ServerName, to int, load float64) {
+	name := d.servers[to].Name
+	d.plan.Moves = append(d.plan.Moves, gw.Move{First: first, From: from, To: name})
+	d.addLoad(from, -load)
+	d.addLoad(name, load)
+	if !d.pending(first) {
+		d.p.shifts = append(d.p.shifts, shift{
+			first: first, from: from, to: name, load: load, proposedAt: d.view.Now,
+		})
+	}
+}
+
+// pending reports whether a move of the range that starts at first is proposed and not seen yet.
+func (d *draft) pending(first gw.Position) bool {
+	return slices.ContainsFunc(d.p.shifts, func(s shift) bool { return s.first == first && s.movedAt.IsZero() })
+}
+
+// settling reports whether a move that starts in the span is not fully visible in the loads.
+func (d *draft) settling(span gw.Range) bool {
+	return slices.ContainsFunc(d.p.shifts, func(s shift) bool { return span.Contains(s.first) })
+}
+
+// least returns the server that is up and would be least utilised with more load, other than except, or -1.
+func (d *draft) least(load float64, except gw.ServerName) int {
+	best, lowest := -1, 0.0
+	for _, k := range d.up {
+		s := &d.servers[k]
+		if s.Name == except {
+			continue
+		}
+		if level := (s.load + load) / max(s.Capacity, minCapacity); best < 0 || level < lowest {
+			best, lowest = k, level
+		}
+	}
+	return best
+}
+
+// start assigns a key space without any owner: each server that is up gets ranges in proportion to its capacity, dealt
+// out in turn so that neighbours have different owners.
+func (d *draft) start() {
+	p := d.p
+	if p.unowned.IsZero() {
+		p.unowned = d.view.Now
+	}
+	waiting := slices.ContainsFunc(d.servers, func(s server) bool { return s.State == gw.ServerNew })
+	if waiting && d.view.Now.Sub(p.unowned) < p.s.startWait {
+		return
+	}
+	up := slices.Clone(d.up)
+	slices.SortFunc(up, func(x, y int) int { return cmp.Compare(d.servers[x].Name, d.servers[y].Name) })
+	g := max(d.view.Granularity, 1)
+	total := uint64(len(up) * p.s.rangesPerServer)
+	step := max(^uint64(0)/total/g, 1) * g
+	for i := range total {
+		first := gw.Position(i * step)
+		if i > 0 && uint64(first)/step != i {
+			break
+		}
+		if i > 0 {
+			d.plan.Splits = append(d.plan.Splits, first)
+		}
+		// Each round begins one server later, so that the same two servers are neighbours only once.
+		round := int(i) / len(up)
+		k := up[(int(i)+round)%len(up)]
+		d.plan.Moves = append(d.plan.Moves, gw.Move{First: first, To: d.servers[k].Name})
+	}
+}
+
+// replace gives new owners to ranges that must leave theirs at once: ranges without owner if the cell leads, and those of
+// expired and leaving servers of the cell.
+func (d *draft) replace() {
+	var urgent []int
+	for i := range d.ranges {
+		r := &d.ranges[i]
+		k, known := d.index[r.owner]
+		if r.owner == "" && d.view.Lead || known && d.mustLeave(&d.servers[k]) {
+			urgent = append(urgent, i)
+		}
+	}
+	slices.SortStableFunc(urgent, func(x, y int) int { return cmp.Compare(d.ranges[y].load, d.ranges[x].load) })
+	for _, i := range urgent {
+		r := &d.ranges[i]
+		// Ranges without load are spread too, as if each had a little.
+		load := max(r.load, minCapacity)
+		if to := d.least(load, r.owner); to >= 0 {
+			r.touched = true
+			d.move(r.First, r.owner, to, load)
+		}
+	}
+}
+
+func (d *draft) mustLeave(s *server) bool {
+	return s.own && (s.State == gw.ServerExpired || s.State == gw.ServerLeaving)
+}
--- a/peer.go
+++ b/peer.go
@@ -40,6 +40,10 @@
 	Dispatcher   HostName `json:"dispatcher,omitempty"`
 	RelayAddress string   `json:"relay-address,omitempty"`
 	Slots        int      `json:"slots"`
+	// Load and Capacity are in requests a second. They are published at intervals for services with ordered keys, zero
+	// otherwise.
+	Load     float64 `json:"load,omitempty"`
+	Capacity float64 `json:"capacity,omitempty"`
 }
 
 // Directory lists the servers of a cell. It is published by the cell's controller.
@@ -137,6 +141,11 @@
 	// RangeLoads gives requests a second by the First of each range.
 	RangeLoads map[Position]float64 `json:"range-loads,omitempty"`
 	Hot        []HotPosition        `json:"hot,omitempty"`
+	// Arrivals counts requests with a key since the last status, Positions are those of a part of them.
+	Arrivals  int64      `json:"arrivals,omitempty"`
+	Positions []Position `json:"positions,omitempty"`
+	// MeanMilliseconds is the mean time that the server takes for a request, zero when it is not known.
+	MeanMilliseconds float64 `json:"mean-milliseconds,omitempty"`
 }
 
 // DispatchStatus answers a DispatchLease or a DispatchRelease.
--- a/placement.go
+++ b/placement.go
@@ -51,6 +51,8 @@
 	// RangeLoads gives requests a second by the First of each range.
 	RangeLoads map[Position]float64
 	Hot        []HotPosition
+	// Arrivals are the requests of the last seconds at the servers of the own cell that were reported.
+	Arrivals Arrivals
 	// Granularity is the smallest width of a range, a power of two; 1 permits a range for a single position.
 	Granularity uint64
 }
@@ -79,3 +81,15 @@
 type Placer interface {
 	Place(view PlacementView) Plan
 }
+
+// Arrivals describes the requests that arrived within a window of time.
+type Arrivals struct {
+	// Samples are ordered by position. Each stands for Weight requests a second.
+	Samples []Arrival
+}
+
+// Arrival is the position of a request and the requests a second that it stands for.
+type Arrival struct {
+	Position Position
+	Weight   float64
+}
