feed: pack large items and offer them once to each other data centre

Change: items above 1 KB are compressed, the second relay of another region's data centre pulls from the first, ranges move only for an excess above the noise of the count.

--- a/internal/process/gwhost/listing.go
+++ b/internal/process/gwhost/listing.go
@@ -1,10 +1,6 @@
 package gwhost
 
 import (
-	"encoding/json"
-
-	"github.com/rotisserie/eris"
-
 	gw "github.com/geraniumworks/geraniumworks"
 )
 
@@ -16,11 +12,9 @@
 	if listing.Revision == 0 {
 		return
 	}
-	data, err := json.Marshal(listing)
+	item, err := gw.NewItem(topicListing, gw.ItemVersion{Sequence: listing.Revision}, listing)
 	if err == nil {
-		err = h.feed.Keep(gw.Item{
-			Topic: topicListing, Version: gw.ItemVersion{Sequence: listing.Revision}, Data: data,
-		})
+		err = h.feed.Keep(item)
 	}
 	if err != nil {
 		h.log.Error("listing was not passed on", "revision", listing.Revision, "error", err)
@@ -30,8 +24,8 @@
 // offerListing takes over a reading of another host.
 func (h *Host) offerListing(item gw.Item) error {
 	var listing gw.Listing
-	if err := json.Unmarshal(item.Data, &listing); err != nil {
-		return eris.Wrapf(err, "decode item %s", item.Topic)
+	if err := item.Decode(&listing); err != nil {
+		return err
 	}
 	h.members.Offer(listing)
 	return nil
--- a/internal/version/gwfeed/feed.go
+++ b/internal/version/gwfeed/feed.go
@@ -49,6 +49,8 @@
 	mu       sync.Mutex
 	own      map[gw.Topic]struct{}
 	accepted map[gw.HostName]acceptance
+	// refused holds the relays that did not accept the last offer.
+	refused map[gw.HostName]bool
 	// firstAnswered is when the first relay in the order of this host last answered a pull.
 	firstAnswered time.Time
 	trusted       bool
@@ -69,6 +71,7 @@
 		wake:     make(chan struct{}, 1),
 		own:      map[gw.Topic]struct{}{},
 		accepted: map[gw.HostName]acceptance{},
+		refused:  map[gw.HostName]bool{},
 		ready:    make(chan struct{}),
 	}
 	for _, opt := range opts {
--- a/internal/version/gwfeed/offer.go
+++ b/internal/version/gwfeed/offer.go
@@ -28,7 +28,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callSlack)
 	defer cancel()
 	var group errgroup.Group
-	for _, relay := range withoutHost(allRelays(f.hosts(), f.self.DataCentre), f.self.Name) {
+	for _, relay := range f.offerTargets() {
 		items := f.pending(relay.Name)
 		if len(items) > 0 {
 			group.Go(func() error { return f.offerTo(ctx, relay, items) })
@@ -38,6 +38,25 @@
 	_ = group.Wait()
 }
 
+// offerTargets returns the relays that are offered items: all of the own region, and of each data centre of other regions
+// the first, since bytes between regions are dear and the second pulls from it. The second is offered them too while the
+// first does not accept.
+func (f *Feed) offerTargets() []gw.HostEntry {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var targets []gw.HostEntry
+	failing := map[gw.DataCentreName]bool{}
+	seen := map[gw.DataCentreName]bool{}
+	for _, relay := range withoutHost(allRelays(f.hosts(), f.self.DataCentre), f.self.Name) {
+		if relay.Region == f.self.Region || !seen[relay.DataCentre] || failing[relay.DataCentre] {
+			targets = append(targets, relay)
+		}
+		seen[relay.DataCentre] = true
+		failing[relay.DataCentre] = f.refused[relay.Name]
+	}
+	return targets
+}
+
 // pending returns the own items that a relay has not accepted.
 func (f *Feed) pending(relay gw.HostName) []gw.Item {
 	f.mu.Lock()
@@ -58,11 +77,12 @@
 func (f *Feed) offerTo(ctx context.Context, relay gw.HostEntry, items []gw.Item) error {
 	reply, err := f.peer.Offer(ctx, relay.PeerAddress, gw.OfferRequest{From: f.instance, Items: items})
 	f.counters.offers.WithLabelValues(result(err)).Inc()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refused[relay.Name] = err != nil
 	if err != nil {
 		return err
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	held := f.accepted[relay.Name]
 	if held.instance != reply.Instance {
 		// A relay that was restarted has forgotten what it accepted.
--- a/internal/version/gwspread/relieve.go
+++ b/internal/version/gwspread/relieve.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	gw "github.com/geraniumworks/geraniumworks"
@@ -13,7 +14,7 @@
 	limit := max(d.level*d.p.s.overload, d.p.s.idleBelow)
 	for _, k := range d.byUtilisation() {
 		s := &d.servers[k]
-		if !s.own || s.utilisation() <= limit {
+		if !s.own || s.utilisation() <= limit || s.load-limit*s.Capacity < noise(s.load) {
 			continue
 		}
 		target := max(d.level, d.p.s.idleBelow)
@@ -21,6 +22,15 @@
 	}
 }
 
+// noise returns the standard deviation of a load in requests a second that was counted over the window of loads. A
+// smaller excess is mostly chance, and would move keys to and fro.
+func noise(load float64) float64 {
+	return math.Sqrt(max(load, 0) / windowSeconds)
+}
+
+// windowSeconds is the time over which arrivals are counted.
+const windowSeconds = 2.5
+
 // fill gives servers that are up and have almost nothing to do a part of what the own servers above the mean have.
 func (d *draft) fill() {
 	for _, k := range d.up {
--- a/internal/version/gwtable/state.go
+++ b/internal/version/gwtable/state.go
@@ -1,7 +1,6 @@
 package gwtable
 
 import (
-	"encoding/json"
 	"maps"
 	"strings"
 
@@ -30,7 +29,7 @@
 
 // ConfigItem returns the item of a configuration.
 func ConfigItem(cfg gw.Config) (gw.Item, error) {
-	return newItem(TopicConfig, gw.ItemVersion{Sequence: uint64(cfg.Version)}, cfg)
+	return gw.NewItem(TopicConfig, gw.ItemVersion{Sequence: uint64(cfg.Version)}, cfg)
 }
 
 // Record is an assignment with its version in the store, so that a controller that receives it from another one
@@ -42,20 +41,12 @@
 
 // AssignmentItem returns the item of an assignment.
 func AssignmentItem(r Record) (gw.Item, error) {
-	return newItem(AssignmentTopic(r.Assignment.KeySpace), gw.ItemVersion{Sequence: uint64(r.Assignment.Revision)}, r)
+	return gw.NewItem(AssignmentTopic(r.Assignment.KeySpace), gw.ItemVersion{Sequence: uint64(r.Assignment.Revision)}, r)
 }
 
 // DirectoryItem returns the item of a directory.
 func DirectoryItem(d gw.Directory) (gw.Item, error) {
-	return newItem(DirectoryTopic(d.Cell), gw.ItemVersion{Epoch: uint64(d.Epoch), Sequence: d.Sequence}, d)
-}
-
-func newItem(topic gw.Topic, version gw.ItemVersion, value any) (gw.Item, error) {
-	data, err := json.Marshal(value)
-	if err != nil {
-		return gw.Item{}, eris.Wrapf(err, "encode item %s", topic)
-	}
-	return gw.Item{Topic: topic, Version: version, Data: data}, nil
+	return gw.NewItem(DirectoryTopic(d.Cell), gw.ItemVersion{Epoch: uint64(d.Epoch), Sequence: d.Sequence}, d)
 }
 
 // State is one immutable view of everything that routing depends on.
@@ -83,14 +74,14 @@
 	switch {
 	case item.Topic == TopicConfig:
 		var cfg gw.Config
-		if err := json.Unmarshal(item.Data, &cfg); err != nil {
-			return s, eris.Wrapf(err, "decode item %s", item.Topic)
+		if err := item.Decode(&cfg); err != nil {
+			return s, err
 		}
 		s = s.withConfig(cfg)
 	case strings.HasPrefix(string(item.Topic), topicAssignmentPrefix):
 		var r Record
-		if err := json.Unmarshal(item.Data, &r); err != nil {
-			return s, eris.Wrapf(err, "decode item %s", item.Topic)
+		if err := item.Decode(&r); err != nil {
+			return s, err
 		}
 		if err := r.Assignment.Validate(); err != nil {
 			return s, eris.Wrapf(err, "item %s", item.Topic)
@@ -99,8 +90,8 @@
 		s.Assignments[r.Assignment.KeySpace] = r
 	case strings.HasPrefix(string(item.Topic), topicDirectoryPrefix):
 		var d gw.Directory
-		if err := json.Unmarshal(item.Data, &d); err != nil {
-			return s, eris.Wrapf(err, "decode item %s", item.Topic)
+		if err := item.Decode(&d); err != nil {
+			return s, err
 		}
 		s = s.withDirectory(d)
 	}
--- /dev/null
+++ b/item.go
@@ -0,0 +1,78 @@
+package geraniumworks
+
+import (
+	"bytes"
+	"compress/flate"
+	"encoding/json"
+	"io"
+	"sync"
+
+	"github.com/rotisserie/eris"
+)
+
+// Topic names an item that is passed on to every host.
+type Topic string
+
+// Item is a versioned value that is passed on to every host.
+type Item struct {
+	Topic   Topic       `json:"topic"`
+	Version ItemVersion `json:"version"`
+	// Data is the value as JSON, empty when the value is packed.
+	Data json.RawMessage `json:"data,omitempty"`
+	// Packed is the compressed JSON of a large value.
+	Packed []byte `json:"packed,omitempty"`
+}
+
+const (
+	// packAbove is the size in bytes from which a value is compressed: an assignment of 100 ranges has 8 KB, and is sent
+	// to every host at each change, between regions too.
+	packAbove = 1 << 10
+	// unpackMost bounds an unpacked value; the store holds values up to 1 MB.
+	unpackMost = 4 << 20
+)
+
+var packers = sync.Pool{New: func() any {
+	w, err := flate.NewWriter(io.Discard, flate.BestSpeed)
+	if err != nil {
+		// The level is a constant of the library.
+		panic(err)
+	}
+	return w
+}}
+
+// NewItem returns an item with a value, packed when it is large.
+func NewItem(topic Topic, version ItemVersion, value any) (Item, error) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return Item{}, eris.Wrapf(err, "encode item %s", topic)
+	}
+	item := Item{Topic: topic, Version: version}
+	if len(data) <= packAbove {
+		item.Data = data
+		return item, nil
+	}
+	var buf bytes.Buffer
+	w := packers.Get().(*flate.Writer)
+	defer packers.Put(w)
+	w.Reset(&buf)
+	if _, err := w.Write(data); err != nil {
+		return Item{}, eris.Wrapf(err, "pack item %s", topic)
+	}
+	if err := w.Close(); err != nil {
+		return Item{}, eris.Wrapf(err, "pack item %s", topic)
+	}
+	item.Packed = buf.Bytes()
+	return item, nil
+}
+
+// Decode reads the value of the item.
+func (i Item) Decode(value any) error {
+	data := []byte(i.Data)
+	if len(i.Packed) > 0 {
+		var err error
+		if data, err = io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(i.Packed)), unpackMost)); err != nil {
+			return eris.Wrapf(err, "unpack item %s", i.Topic)
+		}
+	}
+	return eris.Wrapf(json.Unmarshal(data, value), "decode item %s", i.Topic)
+}
--- a/peer.go
+++ b/peer.go
@@ -1,9 +1,6 @@
 package geraniumworks
 
-import (
-	"context"
-	"encoding/json"
-)
+import "context"
 
 // ItemVersion orders the versions of one item: by Epoch, then by Sequence.
 type ItemVersion struct {
@@ -19,16 +16,6 @@
 	return v.Sequence < w.Sequence
 }
 
-// Topic names an item that is passed on to every host.
-type Topic string
-
-// Item is a versioned value that is passed on to every host.
-type Item struct {
-	Topic   Topic           `json:"topic"`
-	Version ItemVersion     `json:"version"`
-	Data    json.RawMessage `json:"data"`
-}
-
 // DirectoryServer is a server in the directory of a cell.
 type DirectoryServer struct {
 	Name        ServerName  `json:"name"`
