relay: bar servers that this host knows to be leaving; offer listings within the region

Change: the last check before a send asks this host's own listing and configuration; relays offer what they read to the relays of their region.

--- a/internal/process/gwhost/host.go
+++ b/internal/process/gwhost/host.go
@@ -49,6 +49,7 @@
 	entry      *gwentry.Handler
 	control    *gwcontrol.Loop
 	admin      *gwadmin.API
+	outages    outages
 
 	connectBackend func(self gw.HostEntry, log *slog.Logger, r prometheus.Registerer) Backend
 	stopping       atomic.Bool
@@ -127,6 +128,7 @@
 		gwrelay.WithForwarder(h.forwarder("server")),
 		gwrelay.WithConfig(config),
 		gwrelay.WithRegion(h.self.Region),
+		gwrelay.WithBarred(h.barred),
 		gwrelay.WithRegisterer(h.registry),
 	)
 	choice := choice{gwchoice.New(
@@ -213,6 +215,7 @@
 		cfg := h.table.State().Config
 		h.dispatcher.SetConfig(cfg)
 		h.admitter.SetConfig(cfg)
+		h.outages.note(cfg)
 		h.log.Info("configuration in force", slog.Uint64("version", uint64(cfg.Version)))
 	}
 	return nil
--- a/internal/process/gwmembers/members.go
+++ b/internal/process/gwmembers/members.go
@@ -19,6 +19,8 @@
 	pollInterval = 2 * time.Second
 	// pollTimeout bounds one reading.
 	pollTimeout = time.Second
+	// forgetLeaving is how long a server that has left is remembered. No lease names it for so long.
+	forgetLeaving = time.Minute
 	// repeatAfter is the number of equal listings after which a listing gets a new number nevertheless. A controller
 	// forgets a server that is no longer listed only when it is shown a listing, and may do so only once nobody
 	// sends to the server, which can be later than the listing that dropped it.
@@ -39,6 +41,8 @@
 	number  uint64
 	equal   int
 	failing bool
+	// leaving is when each server was first seen leaving, or no longer listed.
+	leaving map[gw.ServerName]time.Time
 }
 
 // Option configures Members.
@@ -62,9 +66,10 @@
 // New returns Members that read a host list.
 func New(list gw.HostList, opts ...Option) *Members {
 	m := &Members{
-		list:  list,
-		log:   slog.New(slog.DiscardHandler),
-		newer: func(gw.Listing) {},
+		list:    list,
+		log:     slog.New(slog.DiscardHandler),
+		newer:   func(gw.Listing) {},
+		leaving: map[gw.ServerName]time.Time{},
 		reads: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "geraniumworks_host_list_reads_total",
 			Help: "Readings of the host list by result.",
@@ -145,11 +150,43 @@
 		return newest
 	}
 	m.equal = 0
+	m.noteLeaving(m.listing.Servers, listing.Servers)
 	m.listing = listing
 	m.number++
 	return newest
 }
 
+// noteLeaving remembers since when servers are leaving or gone. The caller holds mu.
+func (m *Members) noteLeaving(before, after []gw.ServerEntry) {
+	now := time.Now()
+	stays := make(map[gw.ServerName]bool, len(after))
+	for _, s := range after {
+		if stays[s.Name] = s.State == gw.EntryLive; stays[s.Name] {
+			delete(m.leaving, s.Name)
+		} else if _, ok := m.leaving[s.Name]; !ok {
+			m.leaving[s.Name] = now
+		}
+	}
+	for _, s := range before {
+		if _, ok := m.leaving[s.Name]; !ok && !stays[s.Name] {
+			m.leaving[s.Name] = now
+		}
+	}
+	for name, since := range m.leaving {
+		if now.Sub(since) > forgetLeaving {
+			delete(m.leaving, name)
+		}
+	}
+}
+
+// LeavingSince returns since when this host knows that a server is leaving or gone, and false when it does not.
+func (m *Members) LeavingSince(name gw.ServerName) (time.Time, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	since, ok := m.leaving[name]
+	return since, ok
+}
+
 // Offer takes over the servers in a reading of another host when it is newer than the own one.
 func (m *Members) Offer(listing gw.Listing) {
 	m.mu.Lock()
@@ -157,6 +194,7 @@
 	if listing.Revision <= m.listing.Revision {
 		return
 	}
+	m.noteLeaving(m.listing.Servers, listing.Servers)
 	m.listing.Servers, m.listing.Revision = listing.Servers, listing.Revision
 	m.number++
 }
@@ -165,3 +203,15 @@
 func same(x, y gw.Listing) bool {
 	return slices.Equal(x.Hosts, y.Hosts) && slices.Equal(x.Servers, y.Servers)
 }
+
+// DataCentreOf returns the data centre of a listed server.
+func (m *Members) DataCentreOf(name gw.ServerName) (gw.DataCentreName, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, s := range m.listing.Servers {
+		if s.Name == name {
+			return s.DataCentre, true
+		}
+	}
+	return "", false
+}
--- a/internal/request/gwrelay/options.go
+++ b/internal/request/gwrelay/options.go
@@ -13,6 +13,7 @@
 	Forwarder  *gwforward.Forwarder
 	Config     func() gw.Config
 	Region     gw.RegionName
+	Barred     func(gw.ServerName) bool
 	Registerer prometheus.Registerer
 }
 
@@ -39,6 +40,12 @@
 	return func(o *Options) { o.Region = r }
 }
 
+// WithBarred sets a function that names servers that must get nothing more, whatever their controller says: this host
+// knows that they have been leaving or out of service for too long. By default there are none.
+func WithBarred(barred func(gw.ServerName) bool) Option {
+	return func(o *Options) { o.Barred = barred }
+}
+
 // WithRegisterer registers the counters of the relay.
 func WithRegisterer(r prometheus.Registerer) Option {
 	return func(o *Options) { o.Registerer = r }
--- a/internal/request/gwrelay/relay.go
+++ b/internal/request/gwrelay/relay.go
@@ -24,7 +24,7 @@
 
 // New returns a relay.
 func New(opts ...Option) *Relay {
-	var o Options
+	o := Options{Barred: func(gw.ServerName) bool { return false }}
 	for _, opt := range opts {
 		opt(&o)
 	}
@@ -61,7 +61,7 @@
 	if server.Connections <= 0 {
 		toServer.Connections = server.Slots
 	}
-	if !time.Now().Before(slot.SendBefore()) {
+	if !time.Now().Before(slot.SendBefore()) || r.opts.Barred(server.Name) {
 		cancel()
 		slot.Done(gw.AttemptResult{Outcome: gw.OutcomeNotRun, End: time.Now()})
 		r.count(gw.ReasonNoServer)
--- a/internal/version/gwfeed/feed.go
+++ b/internal/version/gwfeed/feed.go
@@ -49,6 +49,8 @@
 	mu       sync.Mutex
 	own      map[gw.Topic]struct{}
 	accepted map[gw.HostName]acceptance
+	// regional are the topics that are offered within the region only.
+	regional map[gw.Topic]struct{}
 	// refused holds the relays that did not accept the last offer.
 	refused map[gw.HostName]bool
 	// firstAnswered is when the first relay in the order of this host last answered a pull.
@@ -72,6 +74,7 @@
 		own:      map[gw.Topic]struct{}{},
 		accepted: map[gw.HostName]acceptance{},
 		refused:  map[gw.HostName]bool{},
+		regional: map[gw.Topic]struct{}{},
 		ready:    make(chan struct{}),
 	}
 	for _, opt := range opts {
@@ -94,16 +97,28 @@
 	f.mu.Lock()
 	f.own[item.Topic] = struct{}{}
 	f.mu.Unlock()
+	f.wakeOffers()
+	return nil
+}
+
+func (f *Feed) wakeOffers() {
 	select {
 	case f.wake <- struct{}{}:
 	default:
 	}
-	return nil
 }
 
-// Keep holds an item that every data centre reads for itself, for the hosts that pull from this one.
+// Keep holds an item that every data centre reads for itself, for the hosts that pull from this one. A relay offers it to
+// the relays of its region too, whose own path to the source may be cut.
 func (f *Feed) Keep(item gw.Item) error {
-	return f.put("own", []gw.Item{item})
+	if err := f.put("own", []gw.Item{item}); err != nil {
+		return err
+	}
+	f.mu.Lock()
+	f.regional[item.Topic] = struct{}{}
+	f.mu.Unlock()
+	f.wakeOffers()
+	return nil
 }
 
 // Reads reports whether the hosts of this data centre rely on what this host reads.
@@ -246,8 +261,10 @@
 	if err != nil {
 		return err
 	}
-	if err := f.put("store", items); err != nil {
-		return err
+	for _, item := range items {
+		if err := f.Keep(item); err != nil {
+			return err
+		}
 	}
 	f.trust()
 	return nil
--- a/internal/version/gwfeed/offer.go
+++ b/internal/version/gwfeed/offer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -29,7 +30,7 @@
 	defer cancel()
 	var group errgroup.Group
 	for _, relay := range f.offerTargets() {
-		items := f.pending(relay.Name)
+		items := f.pending(relay)
 		if len(items) > 0 {
 			group.Go(func() error { return f.offerTo(ctx, relay, items) })
 		}
@@ -58,11 +59,17 @@
 }
 
 // pending returns the own items that a relay has not accepted.
-func (f *Feed) pending(relay gw.HostName) []gw.Item {
+func (f *Feed) pending(to gw.HostEntry) []gw.Item {
+	inRegion := to.Region == f.self.Region && f.isRelay()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	relay := to.Name
+	topics := maps.Clone(f.own)
+	if inRegion {
+		maps.Copy(topics, f.regional)
+	}
 	var items []gw.Item
-	for topic := range f.own {
+	for topic := range topics {
 		item, ok := f.hub.Get(topic)
 		if !ok {
 			continue
