--- a/internal/version/gwconfig/check.go
+++ b/internal/version/gwconfig/check.go
@@ -113,6 +113,13 @@
 	}
 	checkUnique(c, "service.regions", f.Service.Regions)
 	c.limits()
+	c.number("service.warmup-milliseconds", f.Service.WarmupMilliseconds, 0, maxWarmupMilliseconds)
+	if rate := f.Service.ColdRequestsPerSecond; !(rate >= 0 && rate <= maxRate) {
+		c.fail("service.cold-requests-per-second", fmt.Sprintf("is %v", rate), fmt.Sprintf("0 (no limit) to %d", maxRate))
+	}
+	if f.Service.OrderedKeys && !f.Service.DividedByKey {
+		c.fail("service.ordered-keys", "is true", "false, since the service is not divided by key")
+	}
 	for i := range f.Routes {
 		c.route(fmt.Sprintf("routes[%d]", i), f.Routes[i])
 	}
@@ -190,6 +197,8 @@
 	if r.Key != nil {
 		c.key(at+".key", *r.Key)
 	}
+	c.routeKind(at, r)
+	checkUnique(c, at+".home-regions", r.HomeRegions)
 	checkUnique(c, at+".repeatable-methods", r.RepeatableMethods)
 	for i, m := range r.RepeatableMethods {
 		if !slices.Contains(methods, m) {
@@ -199,6 +208,39 @@
 	}
 }
 
+const (
+	maxWeight             = 1_000_000
+	maxRouteMilliseconds  = 600_000
+	maxAttempts           = 10
+	maxPriority           = 100
+	maxWarmupMilliseconds = 600_000
+)
+
+var kinds = []gw.RouteKind{gw.RouteSafe, gw.RouteUnsafe, gw.RouteUpload}
+
+// routeKind checks what a route says about the way its requests are served.
+func (c *checker) routeKind(at string, r gw.Route) {
+	if r.Kind != gw.RouteByMethod && !slices.Contains(kinds, r.Kind) {
+		c.fail(at+".kind", fmt.Sprintf("is %q", clip(string(r.Kind))),
+			"safe, unsafe or upload, or omit the field to go by repeatable-methods")
+	}
+	for i, part := range r.Split {
+		field := fmt.Sprintf("%s.split[%d]", at, i)
+		c.name(field+".service", string(part.Service))
+		c.number(field+".weight", int64(part.Weight), 1, maxWeight)
+	}
+	c.number(at+".timeout-milliseconds", r.TimeoutMilliseconds, 0, maxRouteMilliseconds)
+	c.number(at+".objective-milliseconds", r.ObjectiveMilliseconds, 0, maxRouteMilliseconds)
+	c.number(at+".attempts", int64(r.Attempts), 0, maxAttempts)
+	c.number(at+".priority", int64(r.Priority), 0, maxPriority)
+}
+
+func (c *checker) number(field string, n, least, most int64) {
+	if n < least || n > most {
+		c.fail(field, fmt.Sprintf("is %d", n), fmt.Sprintf("%d to %d", least, most))
+	}
+}
+
 func (c *checker) key(at string, key gw.KeySource) {
 	switch key.From {
 	case gw.KeyFromPathSegment:
--- a/internal/version/gwconfig/set.go
+++ b/internal/version/gwconfig/set.go
@@ -143,11 +143,24 @@
 				c.refer(f, "region", string(r), fmt.Sprintf("service.regions[%d]", j), regions)
 			}
 		}
+		c.routes(f, regions, namesOf(cfg.Services, func(s gw.Service) string { return string(s.Name) }))
 	}
 	c.overlaps(files)
 	return c.errs
 }
 
+// routes checks the regions and services that routes name.
+func (c *setChecker) routes(f *File, regions, services []string) {
+	for i, r := range f.Routes {
+		for j, home := range r.HomeRegions {
+			c.refer(f, "region", string(home), fmt.Sprintf("routes[%d].home-regions[%d]", i, j), regions)
+		}
+		for j, part := range r.Split {
+			c.refer(f, "service", string(part.Service), fmt.Sprintf("routes[%d].split[%d].service", i, j), services)
+		}
+	}
+}
+
 func namesOf[T any](list []T, name func(T) string) []string {
 	var names []string
 	for _, x := range list {
