members: lapsed entries bring no server back

Ruled out: a late event of the store; the entry came from the host that had been cut off. Change: entries that are kept are marked; a host takes one over only while it knows of no end of the server.

--- a/hosts.go
+++ b/hosts.go
@@ -39,6 +39,8 @@
 	Slots int `json:"slots,omitempty"`
 	// WarmAt is the Unix time in milliseconds from which the server bears its full load, zero when it is warm.
 	WarmAt int64 `json:"warm-at-unix-milliseconds,omitempty"`
+	// Lapsed is set for an entry that is no longer in the list, but may be back soon, since the list was away.
+	Lapsed bool `json:"lapsed,omitempty"`
 }
 
 // Listing is one reading of the host list. It may lag behind the hosts' true state.
--- a/internal/process/gwmembers/members.go
+++ b/internal/process/gwmembers/members.go
@@ -142,6 +142,9 @@
 		// Another host has read newer entries of servers.
 		listing.Servers, listing.Revision = m.listing.Servers, m.listing.Revision
 	}
+	if m.number > 0 {
+		listing.Servers = m.withoutGone(listing.Servers)
+	}
 	// Each new number makes the controllers of all cells of the region order the hosts again.
 	m.equal++
 	newest := listing.Revision > m.listing.Revision
@@ -156,6 +159,16 @@
 	return newest
 }
 
+// withoutGone leaves out the lapsed entries that this host already knows to be gone: the reader of the list may have been
+// cut off from it alone. The caller holds mu.
+func (m *Members) withoutGone(servers []gw.ServerEntry) []gw.ServerEntry {
+	return slices.DeleteFunc(slices.Clone(servers), func(s gw.ServerEntry) bool {
+		return s.Lapsed && !slices.ContainsFunc(m.listing.Servers, func(known gw.ServerEntry) bool {
+			return known.Name == s.Name
+		})
+	})
+}
+
 // noteLeaving remembers since when servers are leaving or gone. The caller holds mu.
 func (m *Members) noteLeaving(before, after []gw.ServerEntry) {
 	now := time.Now()
@@ -194,8 +207,9 @@
 	if listing.Revision <= m.listing.Revision {
 		return
 	}
-	m.noteLeaving(m.listing.Servers, listing.Servers)
-	m.listing.Servers, m.listing.Revision = listing.Servers, listing.Revision
+	servers := m.withoutGone(listing.Servers)
+	m.noteLeaving(m.listing.Servers, servers)
+	m.listing.Servers, m.listing.Revision = servers, listing.Revision
 	m.number++
 }
 
--- a/internal/process/gwmembers/members_test.go
+++ b/internal/process/gwmembers/members_test.go
@@ -45,3 +45,27 @@
 	listing, _ := m.Listing()
 	require.Equal(t, list.listing, listing)
 }
+
+// Guards against a server that has left and is used again because another host, which was cut off from the list, still
+// kept its entry (DRAIN on muyiz-registry, scale-2, seed 941038302849); and against the loss of all servers when the list
+// comes back empty after an outage.
+func TestLapsedEntriesDoNotBringServersBack(t *testing.T) {
+	list := &fixedList{listing: gw.Listing{Revision: 5, Servers: []gw.ServerEntry{{Name: "s1", State: gw.EntryLive}}}}
+	m := New(list)
+	m.read(context.Background())
+	m.Offer(gw.Listing{Revision: 6, Servers: []gw.ServerEntry{{Name: "s1", State: gw.EntryLive, Lapsed: true}}})
+	listing, _ := m.Listing()
+	require.Len(t, listing.Servers, 1, "an entry that lapsed in an outage is kept")
+
+	m.Offer(gw.Listing{Revision: 7})
+	listing, _ = m.Listing()
+	require.Empty(t, listing.Servers)
+	_, leaving := m.LeavingSince("s1")
+	require.True(t, leaving)
+
+	m.Offer(gw.Listing{Revision: 8, Servers: []gw.ServerEntry{{Name: "s1", State: gw.EntryLive, Lapsed: true}}})
+	listing, _ = m.Listing()
+	require.Empty(t, listing.Servers, "a lapsed entry brings nothing back")
+	_, leaving = m.LeavingSince("s1")
+	require.True(t, leaving)
+}
