dispatch: serve what can meet its objective first; ask for a free slot before waiting

Cause: above capacity, first in first out answered every request late; entry hosts queued at one server while others were idle. Change: waiting requests are ordered by objective, priority and arrival, hopeless ones are refused at once with the time that the queue needs; undivided services are asked for a free slot at up to three servers.

--- a/internal/request/gwdispatch/property_test.go
+++ b/internal/request/gwdispatch/property_test.go
@@ -234,7 +234,7 @@
 				own[tenant]++
 				continue
 			}
-			r := q.pop()
+			r := q.pop(time.Time{}, 0)
 			w := pushed[r]
 			require.Less(t, popped-w.popped, (w.own+1)*tenants, "request %d of its tenant waited too long", w.own)
 			own[r.Tenant]--
--- a/internal/request/gwdispatch/queue.go
+++ b/internal/request/gwdispatch/queue.go
@@ -44,14 +44,15 @@
 	q.length++
 }
 
-// pop removes the request whose turn it is; the queue must not be empty.
-func (q *fairQueue) pop() *request {
+// pop removes the request whose turn it is when requests need as long as usual; the queue must not be empty.
+func (q *fairQueue) pop(now time.Time, needed time.Duration) *request {
 	if q.next >= len(q.tenants) {
 		q.next = 0
 	}
 	t := q.tenants[q.next]
-	r := t.requests[0]
-	q.take(q.next, 0)
+	first := t.next(now, needed)
+	r := t.requests[first]
+	q.take(q.next, first)
 	if q.next < len(q.tenants) && q.tenants[q.next] == t {
 		q.next++
 	}
--- a/internal/request/gwdispatch/server.go
+++ b/internal/request/gwdispatch/server.go
@@ -86,7 +86,16 @@
 	if last := r.Deadline.Add(-est.P50); last.Before(r.giveUp) {
 		r.giveUp = last
 	}
+	if r.NoWait {
+		s.refuse(r, s.busyRefusal(now, est, "no slot is free"))
+		return
+	}
+	s.shed(now, est)
 	wait := s.expectedWait(now, r.Tenant, est)
+	if s.queue.length > 0 && !r.onTime(now.Add(wait), est.P50) {
+		s.refuse(r, s.busyRefusal(now, est, "the objective cannot be met"))
+		return
+	}
 	if start := now.Add(wait); start.After(r.giveUp) || start.Add(est.Worthwhile).After(r.Deadline) {
 		s.refuse(r, s.late(r, wait+est.Worthwhile, "the queue is longer than the time left"))
 		return
@@ -105,12 +114,7 @@
 
 // expectedWait estimates how long a new request of the tenant would wait, zero without an estimate.
 func (s *serverState) expectedWait(now time.Time, tenant gw.TenantName, est quantiles) time.Duration {
-	usable := s.level.usable(now, s.limits, s.server.Slots)
-	if usable <= 0 {
-		return 0
-	}
-	ahead := s.queue.ahead(tenant)
-	return max(time.Duration(float64(est.Mean)*float64(ahead+1)/usable), s.pace.wait(now, ahead))
+	return s.drainTime(now, s.queue.ahead(tenant), est)
 }
 
 // admits reports whether one more request may start now, and whether it uses the slot that may be used in part only.
@@ -252,12 +256,13 @@
 		}, s.refuse)
 	}
 	est := s.times.estimate(now)
+	s.shed(now, est)
 	for s.queue.length > 0 {
 		ok, fractional := s.admits(now)
 		if !ok {
 			return
 		}
-		r := s.queue.pop()
+		r := s.queue.pop(now, est.P50)
 		needed := est.P50
 		if s.queue.length > 0 {
 			needed = est.Worthwhile
--- a/internal/request/gwentry/attempt.go
+++ b/internal/request/gwentry/attempt.go
@@ -35,11 +35,18 @@
 			}
 			return nil, c.final(refusal)
 		}
+		c.search.noWait = c.probes(target)
 		res := c.attempt(ctx, target)
 		if res.answer != nil {
 			return res.answer, nil
 		}
 		last = res.refusal
+		if c.search.noWait && last.Reason == gw.ReasonOverloaded {
+			// Nothing was sent to a server, so that the next one is no retry.
+			c.attempts--
+			c.search.found(res.target.Server, last.RetryAfterMilliseconds)
+			continue
+		}
 		d := c.retries.Retry(limits, gwretry.Failed{
 			Refusal: last, HasKey: res.target.HasKey, Repeatable: c.repeatable, Replayable: c.body.Replayable(),
 			Attempts: c.attempts, MaxAttempts: c.route.Attempts, Now: time.Now(), Deadline: c.deadline, Jitter: mathrand.Float64(),
@@ -61,11 +68,23 @@
 
 // target asks the router for the next target.
 func (c *call) target(ctx context.Context) (gw.Target, *gw.Refusal) {
+	if avoid := c.search.avoid(); len(avoid) > 0 {
+		target, refusal := c.routeWithout(ctx, slices.Concat(c.exclude, avoid))
+		if refusal == nil {
+			return target, nil
+		}
+		c.search.over = true
+	}
+	return c.routeWithout(ctx, c.exclude)
+}
+
+// routeWithout asks the router for a target that is not excluded.
+func (c *call) routeWithout(ctx context.Context, exclude []gw.ServerName) (gw.Target, *gw.Refusal) {
 	ctx, cancel := context.WithTimeout(ctx, maxRouteWait)
 	defer cancel()
 	target, refusal := c.handler.opts.Router.Route(ctx, gw.RouteRequest{
 		Service: c.service.Name, Tenant: c.tenant.Name, HomeRegions: c.route.HomeRegions,
-		Key: c.key, Exclude: c.exclude, Stale: c.stale,
+		Key: c.key, Exclude: exclude, Stale: c.stale,
 	})
 	if refusal != nil && refusal.Reason == gw.ReasonWrongRegion && len(refusal.HomeRegions) == 0 {
 		refusal = c.wrongRegion()
@@ -79,6 +98,7 @@
 	req := &gwforward.Request{
 		ID: rand.Text(), OperationID: c.operationID, Tenant: c.tenant.Name, Target: target,
 		Repeatable: c.repeatable, Limits: c.service.Limits, Deadline: c.deadline,
+		Objective: c.objective, Priority: c.route.Priority, NoWait: c.search.noWait,
 		Method: c.in.Method, URL: c.in.URL, Host: c.in.Host, Header: c.in.Header, Body: c.body,
 	}
 	res := result{target: target}
--- a/internal/request/gwentry/call.go
+++ b/internal/request/gwentry/call.go
@@ -29,11 +29,14 @@
 	operationID string
 	repeatable  bool
 	deadline    time.Time
-	body        *gwforward.Body
-	retries     *gwretry.Service
+	// objective is when an answer loses most of its worth for the caller, zero when the route has none.
+	objective time.Time
+	body      *gwforward.Body
+	retries   *gwretry.Service
 
 	attempts int
 	exclude  []gw.ServerName
+	search   search
 	stale    gw.Revision
 	// unknown is the last refusal with an unknown outcome. Once an attempt may have run, no later refusal can
 	// promise that the request did not.
@@ -149,9 +152,16 @@
 		return gw.Refuse(gw.ReasonDeadlineTooShort, "no time is left for the request")
 	}
 	c.deadline = now.Add(time.Duration(n) * time.Millisecond)
+	if objective := c.route.ObjectiveMilliseconds; objective > 0 {
+		spent := c.handler.patience.spent(c.route.Name, head.TimeoutMilliseconds)
+		c.objective = now.Add(time.Duration(objective-spent-returnMilliseconds) * time.Millisecond)
+	}
 	return nil
 }
 
+// returnMilliseconds is what an answer needs from here to the caller, and the request needed to arrive here: 8 ms each way.
+const returnMilliseconds = 16
+
 // readBody reads a small body whole and prepares the streaming of others.
 func (c *call) readBody() *gw.Refusal {
 	if c.in.ContentLength == 0 {
--- a/internal/request/gwentry/handler.go
+++ b/internal/request/gwentry/handler.go
@@ -18,11 +18,13 @@
 
 // Handler takes requests of callers.
 type Handler struct {
-	opts    Options
-	echo    *echo.Echo
-	gate    gwforward.Gate
-	index   atomic.Pointer[index]
-	results *prometheus.CounterVec
+	opts  Options
+	echo  *echo.Echo
+	gate  gwforward.Gate
+	index atomic.Pointer[index]
+	// patience tells how long requests have been under way before they came here.
+	patience patience
+	results  *prometheus.CounterVec
 }
 
 // New returns a handler.
--- a/internal/request/gwforward/request.go
+++ b/internal/request/gwforward/request.go
@@ -19,6 +19,10 @@
 	Limits      gw.ServiceLimits
 	// Deadline is when the sender of the request stops waiting for the answer.
 	Deadline time.Time
+	// Objective, Priority and NoWait are those of gw.SlotRequest.
+	Objective time.Time
+	Priority  int
+	NoWait    bool
 
 	Method string
 	// URL holds path and query.
@@ -104,6 +108,15 @@
 		if r.Repeatable {
 			set(h, gw.HeaderRepeatable, "true")
 		}
+		if !r.Objective.IsZero() {
+			set(h, gw.HeaderObjective, itoa(time.Until(r.Objective).Milliseconds()))
+		}
+		if r.Priority > 0 {
+			set(h, gw.HeaderPriority, itoa(int64(r.Priority)))
+		}
+		if r.NoWait {
+			set(h, gw.HeaderNoWait, "true")
+		}
 	}
 	out := &http.Request{
 		Method:     r.Method,
--- a/internal/request/gwrelay/parse.go
+++ b/internal/request/gwrelay/parse.go
@@ -21,6 +21,7 @@
 	for _, name := range []string{
 		gw.HeaderRequestID, gw.HeaderOperationID, gw.HeaderTimeout, gw.HeaderPosition, gw.HeaderToken,
 		gw.HeaderServer, gw.HeaderTenant, gw.HeaderService, gw.HeaderRepeatable,
+		gw.HeaderObjective, gw.HeaderPriority, gw.HeaderNoWait,
 	} {
 		value, ok := gwforward.Single(in.Header, name)
 		if !ok {
@@ -47,6 +48,9 @@
 		Deadline:   now.Add(time.Duration(left) * time.Millisecond),
 		Method:     in.Method, URL: in.URL, Host: in.Host, Header: in.Header,
 	}
+	if refusal := parseRank(req, values, now); refusal != nil {
+		return nil, refusal
+	}
 	position, token := values[gw.HeaderPosition], values[gw.HeaderToken]
 	if position != "" || token != "" {
 		revision, err := strconv.ParseUint(token, 10, 64)
@@ -57,3 +61,23 @@
 	}
 	return req, nil
 }
+
+// parseRank reads how urgent the request is.
+func parseRank(req *gwforward.Request, values map[string]string, now time.Time) *gw.Refusal {
+	req.NoWait = values[gw.HeaderNoWait] == "true"
+	if value := values[gw.HeaderObjective]; value != "" {
+		n, err := strconv.ParseInt(value, 10, 64)
+		if err != nil || n > gwforward.MaxTimeoutMilliseconds || n < -gwforward.MaxTimeoutMilliseconds {
+			return gw.Refuse(gw.ReasonBadRequest, "the objective is not a number of milliseconds")
+		}
+		req.Objective = now.Add(time.Duration(n) * time.Millisecond)
+	}
+	if value := values[gw.HeaderPriority]; value != "" {
+		n, err := strconv.Atoi(value)
+		if err != nil || n < 0 {
+			return gw.Refuse(gw.ReasonBadRequest, "the priority is not a number")
+		}
+		req.Priority = n
+	}
+	return nil
+}
--- a/internal/request/gwrelay/relay.go
+++ b/internal/request/gwrelay/relay.go
@@ -47,7 +47,7 @@
 	slot, refusal := r.opts.Dispatcher.Acquire(ctx, gw.SlotRequest{
 		Service: req.Target.Service, Server: req.Target.Server, Tenant: req.Tenant,
 		HasKey: req.Target.HasKey, Position: req.Target.Position, Token: req.Target.Token,
-		Deadline: req.Deadline,
+		Deadline: req.Deadline, Objective: req.Objective, Priority: req.Priority, NoWait: req.NoWait,
 	})
 	if refusal != nil {
 		cancel()
--- a/outcome.go
+++ b/outcome.go
@@ -43,6 +43,11 @@
 	HeaderRepeatable = "Gw-Repeatable"
 	// HeaderRetryAfter carries Refusal.RetryAfterMilliseconds.
 	HeaderRetryAfter = "Gw-Retry-After-Milliseconds"
+	// HeaderObjective carries the milliseconds until the objective of the request, HeaderPriority its rank, and HeaderNoWait
+	// is "true" when the request must not wait for a slot; from an entry host to a dispatcher.
+	HeaderObjective = "Gw-Objective-Milliseconds"
+	HeaderPriority  = "Gw-Priority"
+	HeaderNoWait    = "Gw-No-Wait"
 	// HeaderHomeRegions lists the home regions of the tenant on a wrong-region refusal.
 	HeaderHomeRegions = "Gw-Home-Regions"
 )
--- a/request.go
+++ b/request.go
@@ -54,6 +54,12 @@
 	Token    Revision
 	// Deadline is when the caller of the request stops waiting for the answer.
 	Deadline time.Time
+	// Objective is when an answer loses most of its worth for the caller, zero when that is the deadline.
+	Objective time.Time
+	// Priority is the rank of the request, 0 is the most urgent.
+	Priority int
+	// NoWait asks for a refusal with the expected wait when no slot is free now.
+	NoWait bool
 }
 
 // AttemptResult tells a dispatcher how the request that held a slot ended.
