entry: search for a free slot in the own region first, without waiting for servers

Change: the search asks the router without waiting, in the own region first; a request waits for an owner until its objective; what a server rejects although it has a slot is sent again within the retry budget.

--- a/cmd/geraniumworks/platform.go
+++ b/cmd/geraniumworks/platform.go
@@ -17,6 +17,10 @@
 // which nobody can take over, and bounds how long the servers of a lost controller that nobody else reaches keep keys.
 const platformAuthority = 20 * time.Second
 
+// platformRetryBurst is a twelfth of the retries that the platform allows a service beside the ratio, rounded down: they
+// are counted over all hosts.
+const platformRetryBurst = 5
+
 // platformBackend returns the connection to the users' platform.
 func platformBackend(
 	settings gwsettings.Settings,
@@ -33,7 +37,7 @@
 		timing.Authority = platformAuthority
 		return gwhost.Backend{
 			Store: p.Store(), HostList: p.HostList(), Servers: p.Servers(), Configs: p,
-			CallerProtocol: p.CallerProtocol(), ServerProtocol: p.ServerProtocol(), Timing: timing,
+			CallerProtocol: p.CallerProtocol(), ServerProtocol: p.ServerProtocol(), Timing: timing, RetryBurst: platformRetryBurst,
 			Run: p.Run, Leave: p.Leave, ReadPromptly: p.ReadPromptly,
 		}
 	}
--- a/internal/process/gwhost/adapters.go
+++ b/internal/process/gwhost/adapters.go
@@ -41,7 +41,7 @@
 		if refusal != nil {
 			result.Outcome = refusal.Reason.Outcome()
 			result.Reason = refusal.Reason
-			result.Overloaded = refusal.Reason == gw.ReasonOverloaded
+			result.Overloaded = refusal.Reason == gw.ReasonOverloaded || refusal.Reason == gw.ReasonShed
 		}
 		attempt.Done(result)
 	}
--- a/internal/process/gwhost/backend.go
+++ b/internal/process/gwhost/backend.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rotisserie/eris"
 
 	gw "github.com/geraniumworks/geraniumworks"
@@ -12,6 +13,7 @@
 	"github.com/geraniumworks/geraniumworks/internal/connection/gwstore"
 	"github.com/geraniumworks/geraniumworks/internal/process/gwlease"
 	"github.com/geraniumworks/geraniumworks/internal/request/gwforward"
+	"github.com/geraniumworks/geraniumworks/internal/request/gwretry"
 	"github.com/geraniumworks/geraniumworks/internal/version/gwfeed"
 	"github.com/geraniumworks/geraniumworks/internal/version/gwplace"
 	"github.com/geraniumworks/geraniumworks/internal/version/gwspread"
@@ -28,6 +30,8 @@
 	CallerProtocol gw.CallerProtocol
 	ServerProtocol gw.ServerProtocol
 	Timing         gwlease.Timing
+	// RetryBurst is how many retries of a service may come at once from this host, zero for the default.
+	RetryBurst int
 	// Run keeps the connection to the outside, nil when nothing needs to run. Leave says that this host is leaving.
 	Run   func(ctx context.Context) error
 	Leave func()
@@ -71,6 +75,15 @@
 	return gwplace.New()
 }
 
+// retryOptions returns the options of the retry policy.
+func (b Backend) retryOptions(r prometheus.Registerer) []gwretry.Option {
+	options := []gwretry.Option{gwretry.WithRegisterer(r)}
+	if b.RetryBurst > 0 {
+		options = append(options, gwretry.WithBurst(b.RetryBurst))
+	}
+	return options
+}
+
 // configSource returns where the feed reads configurations.
 func (h *Host) configSource() gwfeed.Source {
 	if h.backend.Configs != nil {
--- a/internal/process/gwhost/host.go
+++ b/internal/process/gwhost/host.go
@@ -151,7 +151,7 @@
 		gwentry.WithAdmission(admission{h.admitter}),
 		gwentry.WithObserver(choice),
 		gwentry.WithCallerProtocol(h.backend.CallerProtocol),
-		gwentry.WithPolicy(gwretry.New(gwretry.WithRegisterer(h.registry))),
+		gwentry.WithPolicy(gwretry.New(h.backend.retryOptions(h.registry)...)),
 		gwentry.WithRegisterer(h.registry),
 	)
 }
--- a/internal/request/gwentry/attempt.go
+++ b/internal/request/gwentry/attempt.go
@@ -66,26 +66,50 @@
 	}
 }
 
-// target asks the router for the next target.
+// target asks the router for the next target. A service that is not divided by key is asked for in this host's region
+// first, since bytes between regions are paid for.
 func (c *call) target(ctx context.Context) (gw.Target, *gw.Refusal) {
-	if avoid := c.search.avoid(); len(avoid) > 0 {
-		target, refusal := c.routeWithout(ctx, slices.Concat(c.exclude, avoid))
-		if refusal == nil {
+	avoid := c.search.avoid()
+	if !c.service.DividedByKey && !c.search.crosses(c.body) {
+		near := gw.RouteRequest{HomeRegions: c.nearHomes(), Exclude: slices.Concat(c.exclude, avoid), NoWait: true}
+		if target, refusal := c.ask(ctx, near); refusal == nil {
+			return target, nil
+		}
+		c.search.over = c.search.over || len(avoid) > 0
+		near.Exclude = c.exclude
+		if target, refusal := c.ask(ctx, near); refusal == nil {
+			return target, nil
+		}
+	} else if len(avoid) > 0 {
+		wide := gw.RouteRequest{HomeRegions: c.route.HomeRegions, Exclude: slices.Concat(c.exclude, avoid), NoWait: true}
+		if target, refusal := c.ask(ctx, wide); refusal == nil {
 			return target, nil
 		}
 		c.search.over = true
 	}
-	return c.routeWithout(ctx, c.exclude)
+	return c.ask(ctx, gw.RouteRequest{HomeRegions: c.route.HomeRegions, Exclude: c.exclude})
+}
+
+// nearHomes returns this host's region when the route may be served there, and the route's home regions otherwise.
+func (c *call) nearHomes() []gw.RegionName {
+	own := c.handler.opts.Region
+	if homes := c.route.HomeRegions; len(homes) > 0 && !slices.Contains(homes, own) {
+		return homes
+	}
+	return []gw.RegionName{own}
 }
 
-// routeWithout asks the router for a target that is not excluded.
-func (c *call) routeWithout(ctx context.Context, exclude []gw.ServerName) (gw.Target, *gw.Refusal) {
-	ctx, cancel := context.WithTimeout(ctx, maxRouteWait)
+// ask asks the router for a target under the conditions of req. It waits for newer state for as long as an answer
+// would be worth much to the caller.
+func (c *call) ask(ctx context.Context, req gw.RouteRequest) (gw.Target, *gw.Refusal) {
+	until := time.Now().Add(maxRouteWait)
+	if !c.objective.IsZero() && c.objective.Before(until) {
+		until = c.objective
+	}
+	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
-	target, refusal := c.handler.opts.Router.Route(ctx, gw.RouteRequest{
-		Service: c.service.Name, Tenant: c.tenant.Name, HomeRegions: c.route.HomeRegions,
-		Key: c.key, Exclude: exclude, Stale: c.stale,
-	})
+	req.Service, req.Tenant, req.Key, req.Stale = c.service.Name, c.tenant.Name, c.key, c.stale
+	target, refusal := c.handler.opts.Router.Route(ctx, req)
 	if refusal != nil && refusal.Reason == gw.ReasonWrongRegion && len(refusal.HomeRegions) == 0 {
 		refusal = c.wrongRegion()
 	}
--- a/internal/request/gwentry/search.go
+++ b/internal/request/gwentry/search.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	gw "github.com/geraniumworks/geraniumworks"
+	"github.com/geraniumworks/geraniumworks/internal/request/gwforward"
 )
 
 // maxProbes is how many servers are asked for a free slot before the request waits at one. Three of them are all busy
@@ -48,6 +49,23 @@
 	}
 }
 
+const (
+	// crossWait is the wait in milliseconds in the own region from which another one is asked, which takes 40 ms. A body
+	// above crossBytes takes several round trips and is paid for by its bytes, so that it crosses for crossWaitLarge only.
+	crossWait      = 80
+	crossWaitLarge = 250
+	crossBytes     = 16 << 10
+)
+
+// crosses reports whether the next attempt may use a server in another region although the own one has some.
+func (s *search) crosses(body *gwforward.Body) bool {
+	least := int64(crossWait)
+	if body.Size() < 0 || body.Size() > crossBytes {
+		least = crossWaitLarge
+	}
+	return s.probing() && len(s.busy) == maxProbes-1 && s.shortWait > least
+}
+
 // probes reports whether the next attempt asks for a free slot only. The owner of a key has no alternative, and a body
 // that is streamed cannot be sent again.
 func (c *call) probes(target gw.Target) bool {
--- a/internal/request/gwforward/body.go
+++ b/internal/request/gwforward/body.go
@@ -64,6 +64,14 @@
 	return !b.touched
 }
 
+// Size returns the declared length in bytes, -1 when none was declared.
+func (b *Body) Size() int64 {
+	if b == nil {
+		return 0
+	}
+	return b.length
+}
+
 // Whole reports whether the body was read to its end, so that its connection can take another request.
 func (b *Body) Whole() bool {
 	if b == nil || b.src == nil {
--- a/internal/request/gwrelay/relay.go
+++ b/internal/request/gwrelay/relay.go
@@ -86,7 +86,7 @@
 func failedResult(failed *gwforward.Failure) gw.AttemptResult {
 	result := gw.AttemptResult{
 		Outcome: failed.Reason.Outcome(), Status: failed.Status, Incarnation: failed.Incarnation,
-		Overloaded: failed.Reason == gw.ReasonOverloaded,
+		Overloaded: failed.Reason == gw.ReasonOverloaded || failed.Reason == gw.ReasonShed,
 	}
 	if result.Outcome == gw.OutcomeNotRun {
 		result.End = time.Now()
--- a/internal/request/gwretry/decide.go
+++ b/internal/request/gwretry/decide.go
@@ -57,6 +57,9 @@
 // dispatcher did not take the request. It doubles with each attempt.
 const refreshWait = 20 * time.Millisecond
 
+// shedWait is how long a retry at a server that rejected a request waits.
+const shedWait = 5 * time.Millisecond
+
 // decide returns what may be done after a refused attempt, the budget aside.
 func decide(f Failed, maxAttempts int) Decision {
 	d := plan(f)
@@ -90,6 +93,12 @@
 			return Decision{Verdict: VerdictFinal}
 		}
 		return another
+	case gw.ReasonShed:
+		if f.HasKey {
+			// A server that rejects a part of its requests although it has room may take the next one.
+			return Decision{Verdict: VerdictRetry, NotBefore: f.Now.Add(shedWait)}
+		}
+		return another
 	case gw.ReasonNoOwner:
 		if f.HasKey {
 			return Decision{Verdict: VerdictRetry, Stale: true}
--- a/internal/version/gwtable/router.go
+++ b/internal/version/gwtable/router.go
@@ -33,7 +33,7 @@
 func (r *Router) Route(ctx context.Context, req gw.RouteRequest) (gw.Target, *gw.Refusal) {
 	// Most requests need not wait. They are spared a timer and a context, which cost more than the lookup.
 	target, refusal := r.resolve(r.table.State(), req)
-	if refusal == nil || !mayChangeSoon(refusal.Reason) {
+	if refusal == nil || req.NoWait || !mayChangeSoon(refusal.Reason) {
 		return target, refusal
 	}
 	return r.await(ctx, req)
--- a/outcome.go
+++ b/outcome.go
@@ -64,6 +64,7 @@
 	ReasonWrongRegion      Reason = "wrong-region"
 	ReasonTenantLimit      Reason = "tenant-limit"
 	ReasonOverloaded       Reason = "overloaded"
+	ReasonShed             Reason = "shed"
 	ReasonNoOwner          Reason = "no-owner"
 	ReasonNoServer         Reason = "no-server"
 	ReasonDeadlineTooShort Reason = "deadline-too-short"
@@ -83,6 +84,7 @@
 	ReasonWrongRegion:      http.StatusMisdirectedRequest,
 	ReasonTenantLimit:      http.StatusTooManyRequests,
 	ReasonOverloaded:       http.StatusServiceUnavailable,
+	ReasonShed:             http.StatusServiceUnavailable,
 	ReasonNoOwner:          http.StatusServiceUnavailable,
 	ReasonNoServer:         http.StatusServiceUnavailable,
 	ReasonDeadlineTooShort: http.StatusServiceUnavailable,
--- a/request.go
+++ b/request.go
@@ -15,6 +15,8 @@
 	Key string
 	// Exclude lists servers that an earlier attempt of the request has tried.
 	Exclude []ServerName
+	// NoWait asks for a refusal when there is no target now.
+	NoWait bool
 	// Stale is the highest token that a server has refused as stale in an earlier attempt.
 	Stale Revision
 }
