relay: ask for consent before a large body crosses to another region

Cause: uploads that a distant owner refuses were sent there first. Change: an entry host waits for consent with bodies above 16 KB, and the relay decides before it reads them. Conclusion: kept, as it spares callers a transfer, but refused uploads were not the cause.

--- a/internal/request/gwdispatch/dispatcher.go
+++ b/internal/request/gwdispatch/dispatcher.go
@@ -147,6 +147,17 @@
 	return slot, nil
 }
 
+// Preview implements gw.Dispatcher.
+func (d *Dispatcher) Preview(req gw.SlotRequest) *gw.Refusal {
+	s, ok := (*d.servers.Load())[serverKey{req.Service, req.Server}]
+	if !ok {
+		return gw.Refuse(gw.ReasonNoServer, "this host is not the dispatcher of the server")
+	}
+	var refusal *gw.Refusal
+	s.step(func(st *serverState, now time.Time) { refusal = st.preview(now, &request{SlotRequest: req}) })
+	return refusal
+}
+
 // step runs one step of the server's state machine and wakes the requests that it decided.
 func (s *server) step(f func(st *serverState, now time.Time)) {
 	s.mu.Lock()
--- a/internal/request/gwdispatch/server.go
+++ b/internal/request/gwdispatch/server.go
@@ -82,22 +82,9 @@
 }
 
 func (s *serverState) enqueue(now time.Time, r *request, est quantiles) {
-	r.giveUp = now.Add(time.Duration(s.limits.QueueMilliseconds) * time.Millisecond)
-	if last := r.Deadline.Add(-est.P50); last.Before(r.giveUp) {
-		r.giveUp = last
-	}
-	if r.NoWait {
-		s.refuse(r, s.busyRefusal(now, est, "no slot is free"))
-		return
-	}
 	s.shed(now, est)
-	wait := s.expectedWait(now, r.Tenant, est)
-	if s.queue.length > 0 && !r.onTime(now.Add(wait), est.P50) {
-		s.refuse(r, s.busyRefusal(now, est, "the objective cannot be met"))
-		return
-	}
-	if start := now.Add(wait); start.After(r.giveUp) || start.Add(est.Worthwhile).After(r.Deadline) {
-		s.refuse(r, s.late(r, wait+est.Worthwhile, "the queue is longer than the time left"))
+	if ref := s.hopeless(now, r, est); ref != nil {
+		s.refuse(r, ref)
 		return
 	}
 	if s.queue.length >= s.limits.QueueLength {
@@ -112,6 +99,39 @@
 	s.queue.push(r)
 }
 
+// hopeless returns why a request is not to wait, nil when it may. It sets when the request gives up waiting.
+func (s *serverState) hopeless(now time.Time, r *request, est quantiles) *gw.Refusal {
+	r.giveUp = now.Add(time.Duration(s.limits.QueueMilliseconds) * time.Millisecond)
+	if last := r.Deadline.Add(-est.P50); last.Before(r.giveUp) {
+		r.giveUp = last
+	}
+	if r.NoWait {
+		return s.busyRefusal(now, est, "no slot is free")
+	}
+	wait := s.expectedWait(now, r.Tenant, est)
+	start := now.Add(wait)
+	switch {
+	case s.queue.length > 0 && !r.onTime(start, est.P50):
+		return s.busyRefusal(now, est, "the objective cannot be met")
+	case start.After(r.giveUp) || start.Add(est.Worthwhile).After(r.Deadline):
+		return s.late(r, wait+est.Worthwhile, "the queue is longer than the time left")
+	}
+	return nil
+}
+
+// preview returns why a request would be refused now, nil when it would start or wait.
+func (s *serverState) preview(now time.Time, r *request) *gw.Refusal {
+	s.expire(now)
+	r.arrived = now
+	if _, ref := s.check(now, r); ref != nil {
+		return ref
+	}
+	if ok, _ := s.admits(now); ok && s.queue.length == 0 {
+		return nil
+	}
+	return s.hopeless(now, r, s.times.estimate(now))
+}
+
 // expectedWait estimates how long a new request of the tenant would wait, zero without an estimate.
 func (s *serverState) expectedWait(now time.Time, tenant gw.TenantName, est quantiles) time.Duration {
 	return s.drainTime(now, s.queue.ahead(tenant), est)
--- a/internal/request/gwentry/call.go
+++ b/internal/request/gwentry/call.go
@@ -170,7 +170,11 @@
 	// A writer without deadlines, as in tests, has no slow caller either.
 	_ = c.rc.SetReadDeadline(c.deadline)
 	var err error
-	c.body, err = gwforward.Receive(c.in, c.bodyLimit(), c.route.Kind == gw.RouteByMethod)
+	use := gwforward.Whole
+	if c.route.Kind == gw.RouteByMethod {
+		use = gwforward.Duplex
+	}
+	c.body, err = gwforward.Receive(c.in, c.bodyLimit(), use)
 	switch {
 	case err == nil:
 	case errors.Is(err, gwforward.ErrBodyTooLarge):
--- a/internal/request/gwentry/fakes_test.go
+++ b/internal/request/gwentry/fakes_test.go
@@ -60,6 +60,10 @@
 	once   sync.Once
 }
 
+func (d *dispatcher) Preview(gw.SlotRequest) *gw.Refusal {
+	return nil
+}
+
 func (d *dispatcher) Acquire(_ context.Context, req gw.SlotRequest) (gw.Slot, *gw.Refusal) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/request/gwforward/receive.go
+++ b/internal/request/gwforward/receive.go
@@ -18,18 +18,35 @@
 // firstBufferBytes is what a body occupies before anything of it has arrived.
 const firstBufferBytes = 4 << 10
 
-// Receive reads the body of a request whole when it is small, and prepares the streaming of others. A chunked body is
-// read whole only when the request has no answer before its end, which duplex says it may have. It returns nil for a
+// BodyUse says what may be assumed of a request's body.
+type BodyUse int
+
+// Uses of bodies.
+const (
+	// Duplex bodies may be answered before their end, so that chunked ones are not read whole.
+	Duplex BodyUse = iota
+	// Whole bodies are sent before the answer.
+	Whole
+	// Relayed bodies come from an entry host, which waits for consent only to save the sending of a body.
+	Relayed
+)
+
+// Expects reports whether the sender of a request waits for consent before it sends the body.
+func Expects(in *http.Request) bool {
+	return strings.EqualFold(in.Header.Get("Expect"), "100-continue")
+}
+
+// Receive reads the body of a request whole when it is small, and prepares the streaming of others. It returns nil for a
 // request without body, ErrBodyTooLarge for a body above limit, and ErrBodyFailed when the body does not arrive.
-func Receive(in *http.Request, limit int64, duplex bool) (*Body, error) {
+func Receive(in *http.Request, limit int64, use BodyUse) (*Body, error) {
 	n := in.ContentLength
-	expects := strings.EqualFold(in.Header.Get("Expect"), "100-continue")
+	expects := Expects(in) && (use != Relayed || n < 0)
 	switch {
 	case n == 0:
 		return nil, nil
 	case n > limit:
 		return nil, eris.Wrapf(ErrBodyTooLarge, "%d bytes are declared", n)
-	case expects || n > MaxBufferedBytes || n < 0 && duplex:
+	case expects || n > MaxBufferedBytes || n < 0 && use != Whole:
 		return Streamed(in.Body, n, limit, expects), nil
 	}
 	first := int64(firstBufferBytes)
--- a/internal/request/gwforward/request.go
+++ b/internal/request/gwforward/request.go
@@ -89,6 +89,16 @@
 	}
 }
 
+// consentAbove is the size in bytes from which a body waits for the consent of a relay in another region: it takes several
+// round trips, and bytes between regions are paid for.
+const consentAbove = 16 << 10
+
+// expects reports whether the receiver is asked for consent before the body is sent.
+func (r *Request) expects() bool {
+	return r.Body.Replayable() &&
+		(r.Body.expects || r.Relay && r.Target.RemoteRegion && r.Body.src == nil && r.Body.length > consentAbove)
+}
+
 // outgoing returns the request to send. It has no GetBody and its body cannot be rewound, so that no layer
 // below can send it again.
 func (r *Request) outgoing(servers gw.ServerProtocol, left int64, body *attemptBody) *http.Request {
@@ -130,7 +140,7 @@
 	out.URL.RawQuery, out.URL.ForceQuery = r.URL.RawQuery, r.URL.ForceQuery
 	if body != nil {
 		out.Body, out.ContentLength = body, r.Body.length
-		if r.Body.expects && r.Body.Replayable() {
+		if r.expects() {
 			set(h, "Expect", "100-continue")
 		}
 	}
--- a/internal/request/gwrelay/relay.go
+++ b/internal/request/gwrelay/relay.go
@@ -44,11 +44,7 @@
 // answer has arrived whole or is closed.
 func (r *Relay) Deliver(ctx context.Context, req *gwforward.Request) (*gwforward.Answer, *gw.Refusal) {
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
-	slot, refusal := r.opts.Dispatcher.Acquire(ctx, gw.SlotRequest{
-		Service: req.Target.Service, Server: req.Target.Server, Tenant: req.Tenant,
-		HasKey: req.Target.HasKey, Position: req.Target.Position, Token: req.Target.Token,
-		Deadline: req.Deadline, Objective: req.Objective, Priority: req.Priority, NoWait: req.NoWait,
-	})
+	slot, refusal := r.opts.Dispatcher.Acquire(ctx, slotRequest(req))
 	if refusal != nil {
 		cancel()
 		r.count(refusal.Reason)
@@ -81,6 +77,14 @@
 	return answer, nil
 }
 
+func slotRequest(req *gwforward.Request) gw.SlotRequest {
+	return gw.SlotRequest{
+		Service: req.Target.Service, Server: req.Target.Server, Tenant: req.Tenant,
+		HasKey: req.Target.HasKey, Position: req.Target.Position, Token: req.Target.Token,
+		Deadline: req.Deadline, Objective: req.Objective, Priority: req.Priority, NoWait: req.NoWait,
+	}
+}
+
 // failedResult tells the dispatcher how an attempt without answer ended. Only a request that has not run has ended
 // for certain: the server may still be running one that was cut off, and its slot must not be used meanwhile.
 func failedResult(failed *gwforward.Failure) gw.AttemptResult {
@@ -140,6 +144,10 @@
 	if refusal == nil {
 		refusal = r.check(req)
 	}
+	if refusal == nil && gwforward.Expects(in) {
+		// The body has not been sent yet, and is not when the request would be refused anyway.
+		refusal = r.opts.Dispatcher.Preview(slotRequest(req))
+	}
 	if refusal == nil {
 		refusal = receive(rc, req, in)
 	}
@@ -208,7 +216,7 @@
 	// A writer without deadlines, as in tests, has no slow sender either.
 	_ = rc.SetReadDeadline(req.Deadline)
 	var err error
-	req.Body, err = gwforward.Receive(in, gwforward.BodyLimit(req.Limits), true)
+	req.Body, err = gwforward.Receive(in, gwforward.BodyLimit(req.Limits), gwforward.Relayed)
 	switch {
 	case err == nil:
 		return nil
--- a/request.go
+++ b/request.go
@@ -94,6 +94,8 @@
 	// host is not the server's dispatcher, ReasonNoOwner when the range was released or the token is stale, or
 	// ReasonDeadlineTooShort. Every refusal is not-run.
 	Acquire(ctx context.Context, req SlotRequest) (Slot, *Refusal)
+	// Preview returns the refusal that Acquire would give now without waiting, nil when the request would start or wait.
+	Preview(req SlotRequest) *Refusal
 	// Renew accepts a lease, see Peer.RenewDispatch.
 	Renew(lease DispatchLease) (DispatchStatus, error)
 	// Release stops requests for ranges and waits until none is in flight, see Peer.ReleaseDispatch.
