relay: tell an entry host's question for consent from the caller's

Cause: a caller's own Expect reached the server no more. Conclusion: both are kept apart by a header between hosts.

--- a/internal/request/gwforward/receive.go
+++ b/internal/request/gwforward/receive.go
@@ -8,6 +8,8 @@
 	"strings"
 
 	"github.com/rotisserie/eris"
+
+	gw "github.com/geraniumworks/geraniumworks"
 )
 
 // MaxBufferedBytes is the size up to which request bodies are read before the request is sent. The request can then be
@@ -27,20 +29,18 @@
 	Duplex BodyUse = iota
 	// Whole bodies are sent before the answer.
 	Whole
-	// Relayed bodies come from an entry host, which waits for consent only to save the sending of a body.
-	Relayed
 )
 
-// Expects reports whether the sender of a request waits for consent before it sends the body.
-func Expects(in *http.Request) bool {
-	return strings.EqualFold(in.Header.Get("Expect"), "100-continue")
+// AsksConsent reports whether an entry host waits for consent before it sends the body of a request.
+func AsksConsent(in *http.Request) bool {
+	return in.Header.Get(gw.HeaderConsent) == "true"
 }
 
 // Receive reads the body of a request whole when it is small, and prepares the streaming of others. It returns nil for a
 // request without body, ErrBodyTooLarge for a body above limit, and ErrBodyFailed when the body does not arrive.
 func Receive(in *http.Request, limit int64, use BodyUse) (*Body, error) {
 	n := in.ContentLength
-	expects := Expects(in) && (use != Relayed || n < 0)
+	expects := strings.EqualFold(in.Header.Get("Expect"), "100-continue") && !AsksConsent(in)
 	switch {
 	case n == 0:
 		return nil, nil
--- a/internal/request/gwforward/request.go
+++ b/internal/request/gwforward/request.go
@@ -93,10 +93,9 @@
 // round trips, and bytes between regions are paid for.
 const consentAbove = 16 << 10
 
-// expects reports whether the receiver is asked for consent before the body is sent.
-func (r *Request) expects() bool {
-	return r.Body.Replayable() &&
-		(r.Body.expects || r.Relay && r.Target.RemoteRegion && r.Body.src == nil && r.Body.length > consentAbove)
+// asksConsent reports whether the receiver is asked for consent before the body is sent, although the caller did not ask.
+func (r *Request) asksConsent() bool {
+	return r.Relay && r.Target.RemoteRegion && r.Body.src == nil && !r.Body.expects && r.Body.length > consentAbove
 }
 
 // outgoing returns the request to send. It has no GetBody and its body cannot be rewound, so that no layer
@@ -140,7 +139,10 @@
 	out.URL.RawQuery, out.URL.ForceQuery = r.URL.RawQuery, r.URL.ForceQuery
 	if body != nil {
 		out.Body, out.ContentLength = body, r.Body.length
-		if r.expects() {
+		if r.asksConsent() {
+			set(h, gw.HeaderConsent, "true")
+		}
+		if r.Body.expects && r.Body.Replayable() || r.asksConsent() {
 			set(h, "Expect", "100-continue")
 		}
 	}
--- a/internal/request/gwrelay/relay.go
+++ b/internal/request/gwrelay/relay.go
@@ -144,7 +144,7 @@
 	if refusal == nil {
 		refusal = r.check(req)
 	}
-	if refusal == nil && gwforward.Expects(in) {
+	if refusal == nil && gwforward.AsksConsent(in) {
 		// The body has not been sent yet, and is not when the request would be refused anyway.
 		refusal = r.opts.Dispatcher.Preview(slotRequest(req))
 	}
@@ -216,7 +216,7 @@
 	// A writer without deadlines, as in tests, has no slow sender either.
 	_ = rc.SetReadDeadline(req.Deadline)
 	var err error
-	req.Body, err = gwforward.Receive(in, gwforward.BodyLimit(req.Limits), gwforward.Relayed)
+	req.Body, err = gwforward.Receive(in, gwforward.BodyLimit(req.Limits), gwforward.Duplex)
 	switch {
 	case err == nil:
 		return nil
--- a/outcome.go
+++ b/outcome.go
@@ -48,6 +48,9 @@
 	HeaderObjective = "Gw-Objective-Milliseconds"
 	HeaderPriority  = "Gw-Priority"
 	HeaderNoWait    = "Gw-No-Wait"
+	// HeaderConsent is "true" from an entry host to a dispatcher when the entry host, and not the caller, waits for consent
+	// before it sends the body.
+	HeaderConsent = "Gw-Consent"
 	// HeaderHomeRegions lists the home regions of the tenant on a wrong-region refusal.
 	HeaderHomeRegions = "Gw-Home-Regions"
 )
