--- a/internal/request/gwdispatch/rank.go
+++ b/internal/request/gwdispatch/rank.go
@@ -1,7 +1,6 @@
 package gwdispatch
 
 import (
-	"slices"
 	"time"
 
 	gw "github.com/geraniumworks/geraniumworks"
@@ -9,8 +8,8 @@
 
 // The order of service answers a load above what the server bears. First in, first out then answers every request late.
 // Here requests that can still meet their objective go first, by priority and then by arrival. Those that cannot are
-// served in what is left, and are refused as soon as others that can are waiting: the slots are as busy either way, and
-// a caller that is told at once can come back or go elsewhere.
+// served in what is left, and are refused as soon as those before them would take most of their time: the slots are as
+// busy either way, and a caller that is told early can come back or go elsewhere.
 
 // onTime reports whether a request that starts at a time can meet its objective when it needs as long as usual.
 func (r *request) onTime(start time.Time, needed time.Duration) bool {
@@ -41,19 +40,35 @@
 	return best
 }
 
-// shed refuses the waiting requests that cannot meet their objective while others that can are waiting.
+// lateShare is the part of the time left for which a request that cannot meet its objective may expect to wait. Beyond
+// it, the requests that go before it are so many that it would most likely be held in vain.
+const lateShare = 0.4
+
+// hopelessLate reports whether a request that cannot meet its objective is not worth keeping when a number of others go
+// before it.
+func (s *serverState) hopelessLate(now time.Time, r *request, ahead int, est quantiles) bool {
+	left := r.Deadline.Add(-est.P50).Sub(now)
+	return ahead > 0 && float64(s.drainTime(now, ahead, est)) > lateShare*float64(left)
+}
+
+// shed refuses the waiting requests that cannot meet their objective and would be held in vain.
 func (s *serverState) shed(now time.Time, est quantiles) {
 	if s.queue.length < 2 {
 		return
 	}
-	waitsOnTime := func(r *request) bool { return r.onTime(now, est.P50) }
-	if !slices.ContainsFunc(s.queue.tenants, func(t *tenantQueue) bool {
-		return slices.ContainsFunc(t.requests, waitsOnTime)
-	}) {
+	onTime := 0
+	for _, t := range s.queue.tenants {
+		for _, r := range t.requests {
+			if r.onTime(now, est.P50) {
+				onTime++
+			}
+		}
+	}
+	if onTime == 0 || onTime == s.queue.length {
 		return
 	}
 	s.queue.filter(func(r *request) *gw.Refusal {
-		if waitsOnTime(r) {
+		if r.onTime(now, est.P50) || !s.hopelessLate(now, r, onTime, est) {
 			return nil
 		}
 		return s.busyRefusal(now, est, "the objective cannot be met and others that can meet theirs are waiting")
--- a/internal/request/gwdispatch/server.go
+++ b/internal/request/gwdispatch/server.go
@@ -111,7 +111,7 @@
 	wait := s.expectedWait(now, r.Tenant, est)
 	start := now.Add(wait)
 	switch {
-	case s.queue.length > 0 && !r.onTime(start, est.P50):
+	case !r.onTime(start, est.P50) && s.hopelessLate(now, r, s.queue.length, est):
 		return s.busyRefusal(now, est, "the objective cannot be met")
 	case start.After(r.giveUp) || start.Add(est.Worthwhile).After(r.Deadline):
 		return s.late(r, wait+est.Worthwhile, "the queue is longer than the time left")
