--- a/internal/process/gwcontrol/loop.go
+++ b/internal/process/gwcontrol/loop.go
@@ -16,7 +16,7 @@
 	// tickInterval is the time between ticks of the cores.
 	tickInterval = 100 * time.Millisecond
 	// placeInterval is the time between calls of the placement policy.
-	placeInterval = 500 * time.Millisecond
+	placeInterval = 300 * time.Millisecond
 	// inputBuffer is the number of answers that may wait for the loop.
 	inputBuffer = 1024
 )
--- a/internal/process/gwlease/loads.go
+++ b/internal/process/gwlease/loads.go
@@ -12,7 +12,7 @@
 const (
 	// arrivalWindow is the time over which arrivals are counted. A server gets 20 requests a second, so that shorter
 	// windows are mostly noise; hot keys last for about five seconds.
-	arrivalWindow = 2500 * time.Millisecond
+	arrivalWindow = 2000 * time.Millisecond
 	// loadEvery bounds how often a directory is published because of loads alone.
 	loadEvery = 500 * time.Millisecond
 	// usualMilliseconds is the service time of a server of which nothing is known, when no other one is known either.
--- a/internal/version/gwspread/options.go
+++ b/internal/version/gwspread/options.go
@@ -21,8 +21,8 @@
 		rangesPerServer: 4,
 		mostRanges:      8,
 		startWait:       2 * time.Second,
-		// Loads are counted over the last 2.5 s, so that a move shows in full after that.
-		settle:      2500 * time.Millisecond,
+		// Loads are counted over the last 2 s, so that a move shows in full after that.
+		settle:      2000 * time.Millisecond,
 		moveTimeout: 4 * time.Second,
 		// At 25% above the mean utilisation a server with two slots waits twice as long as its peers.
 		overload: 1.25,
--- a/internal/version/gwspread/relieve.go
+++ b/internal/version/gwspread/relieve.go
@@ -29,7 +29,7 @@
 }
 
 // windowSeconds is the time over which arrivals are counted.
-const windowSeconds = 2.5
+const windowSeconds = 2.0
 
 // fill gives servers that are up and have almost nothing to do a part of what the own servers above the mean have.
 func (d *draft) fill() {
