log: one line for each decision on a request, within a budget

Cause: an operator could not tell from the logs why a request was refused or got no answer. Change: gwlog writes to standard output through a bounded queue, with a budget for each kind of line and one for bytes; entry hosts and dispatchers log how a request and an attempt ended, by the caller's id; every 64th regular end is logged, by a hash of the id.

--- a/cmd/geraniumworks/main.go
+++ b/cmd/geraniumworks/main.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
@@ -40,7 +41,7 @@
 	settingsFlags
 
 	ctx    context.Context
-	stderr io.Writer
+	stdout io.Writer
 }
 
 // Execute implements flags.Commander.
@@ -53,11 +54,22 @@
 	if settings.Platform.StoreEndpoint != "" {
 		options = append(options, gwhost.WithBackend(platformBackend(settings)))
 	}
-	host, err := gwhost.New(settings, settings.Logger(c.stderr), options...)
+	log := settings.NewLog(c.stdout)
+	options = append(options, gwhost.WithCollectors(log.Collector()))
+	host, err := gwhost.New(settings, slog.New(log), options...)
 	if err != nil {
 		return err
 	}
-	return host.Run(c.ctx)
+	// Lines are written until the host has stopped, which is later than the end of c.ctx.
+	ctx, cancel := context.WithCancel(context.Background())
+	written := make(chan error, 1)
+	go func() { written <- log.Run(ctx) }()
+	err = host.Run(c.ctx)
+	cancel()
+	if lerr := <-written; err == nil {
+		err = lerr
+	}
+	return err
 }
 
 type checkCommand struct {
@@ -89,7 +101,7 @@
 		{
 			"run", "Run this host", "Runs this host until SIGTERM, and then stops as planned. Example:\n" +
 				"  geraniumworks run --settings /etc/geraniumworks/settings.json",
-			&runCommand{ctx: ctx, stderr: stderr},
+			&runCommand{ctx: ctx, stdout: stdout},
 		},
 		{
 			"check-settings", "Check settings", "Checks the settings without opening a connection. Example:\n" +
--- a/internal/process/gwhost/host.go
+++ b/internal/process/gwhost/host.go
@@ -64,6 +64,11 @@
 	return func(h *Host) { h.connectBackend = connect }
 }
 
+// WithCollectors registers further metrics.
+func WithCollectors(collectors ...prometheus.Collector) Option {
+	return func(h *Host) { h.registry.MustRegister(collectors...) }
+}
+
 // New returns a Host for checked settings. It opens no connection yet.
 func New(settings gwsettings.Settings, log *slog.Logger, opts ...Option) (*Host, error) {
 	h := &Host{
@@ -129,6 +134,7 @@
 		gwrelay.WithConfig(config),
 		gwrelay.WithRegion(h.self.Region),
 		gwrelay.WithBarred(h.barred),
+		gwrelay.WithLogger(h.log),
 		gwrelay.WithRegisterer(h.registry),
 	)
 	choice := choice{gwchoice.New(
@@ -151,6 +157,7 @@
 		gwentry.WithAdmission(admission{h.admitter}),
 		gwentry.WithObserver(choice),
 		gwentry.WithCallerProtocol(h.backend.CallerProtocol),
+		gwentry.WithLogger(h.log),
 		gwentry.WithPolicy(gwretry.New(h.backend.retryOptions(h.registry)...)),
 		gwentry.WithRegisterer(h.registry),
 	)
--- a/internal/process/gwsettings/logger.go
+++ b/internal/process/gwsettings/logger.go
@@ -3,16 +3,14 @@
 import (
 	"io"
 	"log/slog"
+
+	"github.com/geraniumworks/geraniumworks/internal/process/gwlog"
 )
 
-// Logger returns a logger with the level and format of the settings.
-func (s Settings) Logger(w io.Writer) *slog.Logger {
+// NewLog returns a log with the level and format of the settings.
+func (s Settings) NewLog(w io.Writer) *gwlog.Log {
 	levels := map[string]slog.Level{
 		"debug": slog.LevelDebug, "info": slog.LevelInfo, "warn": slog.LevelWarn, "error": slog.LevelError,
 	}
-	options := &slog.HandlerOptions{Level: levels[s.Log.Level]}
-	if s.Log.Format == "json" {
-		return slog.New(slog.NewJSONHandler(w, options))
-	}
-	return slog.New(slog.NewTextHandler(w, options))
+	return gwlog.New(w, levels[s.Log.Level], s.Log.Format != "json")
 }
--- a/internal/request/gwdispatch/rank.go
+++ b/internal/request/gwdispatch/rank.go
@@ -91,5 +91,10 @@
 	if usable <= 0 {
 		return 0
 	}
-	return max(time.Duration(float64(est.Mean)*float64(ahead+1)/usable), s.pace.wait(now, ahead))
+	mean := est.Mean
+	if mean == 0 {
+		// Before the first answers, all that is known is how long requests have been running.
+		mean = max(s.usual, s.oldest(now))
+	}
+	return max(time.Duration(float64(mean)*float64(ahead+1)/usable), s.pace.wait(now, ahead))
 }
--- a/internal/request/gwdispatch/server.go
+++ b/internal/request/gwdispatch/server.go
@@ -90,10 +90,10 @@
 	if s.queue.length >= s.limits.QueueLength {
 		displaced := s.queue.displace(r.Tenant)
 		if displaced == nil {
-			s.refuse(r, overloaded("queue of the server is full"))
+			s.refuse(r, s.busyRefusal(now, est, "queue of the server is full"))
 			return
 		}
-		s.refuse(displaced, overloaded("queue of the server is full and another tenant has fewer requests in it"))
+		s.refuse(displaced, s.busyRefusal(now, est, "queue of the server is full and another tenant has fewer requests in it"))
 	}
 	r.ready = make(chan struct{})
 	s.queue.push(r)
--- a/internal/request/gwentry/attempt.go
+++ b/internal/request/gwentry/attempt.go
@@ -120,7 +120,7 @@
 func (c *call) deliver(ctx context.Context, target gw.Target) result {
 	start := time.Now()
 	req := &gwforward.Request{
-		ID: rand.Text(), OperationID: c.operationID, Tenant: c.tenant.Name, Target: target,
+		ID: rand.Text(), CallerID: c.id, OperationID: c.operationID, Tenant: c.tenant.Name, Target: target,
 		Repeatable: c.repeatable, Limits: c.service.Limits, Deadline: c.deadline,
 		Objective: c.objective, Priority: c.route.Priority, NoWait: c.search.noWait,
 		Method: c.in.Method, URL: c.in.URL, Host: c.in.Host, Header: c.in.Header, Body: c.body,
@@ -156,6 +156,7 @@
 // attempt makes one attempt, with a hedge when the request permits one.
 func (c *call) attempt(ctx context.Context, target gw.Target) result {
 	c.attempts++
+	c.lastServer, c.lastHost, c.lastToken = target.Server, target.Dispatcher, target.Token
 	var res result
 	// The owner of a key is the only server that may run the request, so there is no other one for a hedge.
 	at, ok := time.Time{}, false
--- a/internal/request/gwentry/call.go
+++ b/internal/request/gwentry/call.go
@@ -20,6 +20,9 @@
 	in      *http.Request
 	rc      *http.ResponseController
 
+	// started is when the request was read, version the configuration that it is served by.
+	started time.Time
+	version gw.ConfigVersion
 	// id is the caller's own id of the request, empty when it has none.
 	id          string
 	route       gw.Route
@@ -35,9 +38,13 @@
 	retries   *gwretry.Service
 
 	attempts int
-	exclude  []gw.ServerName
-	search   search
-	stale    gw.Revision
+	// lastServer, lastHost and lastToken are those of the last attempt's target.
+	lastServer gw.ServerName
+	lastHost   gw.HostName
+	lastToken  gw.Revision
+	exclude    []gw.ServerName
+	search     search
+	stale      gw.Revision
 	// unknown is the last refusal with an unknown outcome. Once an attempt may have run, no later refusal can
 	// promise that the request did not.
 	unknown *gw.Refusal
--- a/internal/request/gwentry/handler.go
+++ b/internal/request/gwentry/handler.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -31,6 +32,7 @@
 func New(opts ...Option) *Handler {
 	o := Options{
 		HeaderBytes: DefaultHeaderBytes, RelayConnections: DefaultRelayConnections, Callers: gwforward.NativeCallers{},
+		Logger: slog.New(slog.DiscardHandler),
 	}
 	for _, opt := range opts {
 		opt(&o)
@@ -89,13 +91,15 @@
 		h.refuse(w, rc, r.ContentLength != 0, gw.Refuse(gw.ReasonNotReady, "this host has no configuration yet"))
 		return nil
 	}
-	c := &call{handler: h, in: r, rc: rc}
-	if refusal := c.read(x, time.Now()); refusal != nil {
+	c := &call{handler: h, in: r, rc: rc, started: time.Now(), version: x.version}
+	if refusal := c.read(x, c.started); refusal != nil {
+		c.logEnd(refusal, 0)
 		h.refuse(w, rc, r.ContentLength != 0, refusal)
 		return nil
 	}
 	release, refusal := h.admit(r.Context(), c)
 	if refusal != nil {
+		c.logEnd(refusal, 0)
 		h.refuse(w, rc, r.ContentLength != 0, refusal)
 		return nil
 	}
@@ -107,6 +111,7 @@
 // serve runs a request that was admitted.
 func (h *Handler) serve(w http.ResponseWriter, c *call) {
 	if refusal := c.readBody(); refusal != nil {
+		c.logEnd(refusal, 0)
 		h.refuse(w, c.rc, true, refusal)
 		return
 	}
@@ -122,9 +127,11 @@
 		refusal = gw.Refuse(gw.ReasonBadAnswer, "an answer without declared length cannot be sent over HTTP/1.0")
 	}
 	if refusal != nil {
+		c.logEnd(refusal, 0)
 		h.refuse(w, c.rc, !c.body.Whole(), refusal)
 		return
 	}
+	c.logEnd(nil, answer.Status)
 	// A caller that does not take the answer in time must not occupy a slot.
 	_ = c.rc.SetWriteDeadline(c.deadline)
 	if err := answer.Write(w, h.opts.Callers); err != nil {
--- /dev/null
+++ b/internal/request/gwentry/log.go
@@ -0,0 +1,56 @@
+package gwentry
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	gw "github.com/geraniumworks/geraniumworks"
+)
+
+// sampledShare is the share of requests, as one in so many, whose regular end is logged. The choice follows from the
+// request's id, so that all hosts log the same requests.
+const sampledShare = 64
+
+// Sampled reports whether the regular end of a request is logged.
+func Sampled(id string) bool {
+	return id != "" && xxhash.Sum64String(id)%sampledShare == 0
+}
+
+// logEnd logs how a request ended and what decided it. Neither the path nor the key is logged, since those of some
+// tenants must not leave their home regions.
+func (c *call) logEnd(refusal *gw.Refusal, status int) {
+	if refusal == nil && status < http.StatusInternalServerError && !Sampled(c.id) {
+		return
+	}
+	now := time.Now()
+	attrs := []slog.Attr{
+		slog.String("request-id", c.id),
+		slog.String("route", string(c.route.Name)),
+		slog.String("service", string(c.service.Name)),
+		slog.Uint64("config-version", uint64(c.version)),
+		slog.Int64("elapsed-milliseconds", now.Sub(c.started).Milliseconds()),
+		slog.Int64("left-milliseconds", c.deadline.Sub(now).Milliseconds()),
+		slog.Int("attempts", c.attempts),
+		slog.Int("busy-servers", len(c.search.busy)),
+		slog.String("last-server", string(c.lastServer)),
+		slog.String("last-host", string(c.lastHost)),
+	}
+	if !c.objective.IsZero() {
+		attrs = append(attrs, slog.Int64("objective-left-milliseconds", c.objective.Sub(now).Milliseconds()))
+	}
+	if c.lastToken > 0 {
+		attrs = append(attrs, slog.Uint64("token", uint64(c.lastToken)))
+	}
+	if refusal == nil {
+		attrs = append(attrs, slog.String("outcome", string(gw.OutcomeAnswered)), slog.Int("status", status))
+	} else {
+		attrs = append(attrs,
+			slog.String("outcome", string(refusal.Reason.Outcome())), slog.String("reason", string(refusal.Reason)),
+			slog.String("detail", refusal.Detail), slog.Int64("retry-after-milliseconds", refusal.RetryAfterMilliseconds))
+	}
+	c.handler.opts.Logger.LogAttrs(context.Background(), slog.LevelInfo, "request ended", attrs...)
+}
--- a/internal/request/gwentry/options.go
+++ b/internal/request/gwentry/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -50,6 +51,7 @@
 	Policy           *gwretry.Policy
 	HeaderBytes      int
 	RelayConnections int
+	Logger           *slog.Logger
 	Registerer       prometheus.Registerer
 }
 
@@ -112,6 +114,11 @@
 	return func(o *Options) { o.RelayConnections = n }
 }
 
+// WithLogger sets where the end of requests is logged. By default nothing is.
+func WithLogger(log *slog.Logger) Option {
+	return func(o *Options) { o.Logger = log }
+}
+
 // WithRegisterer registers the counters of the handler.
 func WithRegisterer(r prometheus.Registerer) Option {
 	return func(o *Options) { o.Registerer = r }
--- a/internal/request/gwforward/request.go
+++ b/internal/request/gwforward/request.go
@@ -11,7 +11,9 @@
 // Request is one attempt to run a caller's request. Forwarder.Send does not change it.
 type Request struct {
 	// ID is unique for the attempt; the answer must repeat it.
-	ID          string
+	ID string
+	// CallerID is the caller's own id of the request, for logs; empty when it has none.
+	CallerID    string
 	OperationID string
 	Tenant      gw.TenantName
 	Target      gw.Target
@@ -126,6 +128,9 @@
 		if r.NoWait {
 			set(h, gw.HeaderNoWait, "true")
 		}
+		if r.CallerID != "" {
+			set(h, gw.HeaderCallerID, r.CallerID)
+		}
 	}
 	out := &http.Request{
 		Method:     r.Method,
--- a/internal/request/gwrelay/options.go
+++ b/internal/request/gwrelay/options.go
@@ -1,6 +1,8 @@
 package gwrelay
 
 import (
+	"log/slog"
+
 	"github.com/prometheus/client_golang/prometheus"
 
 	gw "github.com/geraniumworks/geraniumworks"
@@ -14,6 +16,7 @@
 	Config     func() gw.Config
 	Region     gw.RegionName
 	Barred     func(gw.ServerName) bool
+	Logger     *slog.Logger
 	Registerer prometheus.Registerer
 }
 
@@ -46,6 +49,11 @@
 	return func(o *Options) { o.Barred = barred }
 }
 
+// WithLogger sets where the end of attempts is logged. By default nothing is.
+func WithLogger(log *slog.Logger) Option {
+	return func(o *Options) { o.Logger = log }
+}
+
 // WithRegisterer registers the counters of the relay.
 func WithRegisterer(r prometheus.Registerer) Option {
 	return func(o *Options) { o.Registerer = r }
--- a/internal/request/gwrelay/parse.go
+++ b/internal/request/gwrelay/parse.go
@@ -21,7 +21,7 @@
 	for _, name := range []string{
 		gw.HeaderRequestID, gw.HeaderOperationID, gw.HeaderTimeout, gw.HeaderPosition, gw.HeaderToken,
 		gw.HeaderServer, gw.HeaderTenant, gw.HeaderService, gw.HeaderRepeatable,
-		gw.HeaderObjective, gw.HeaderPriority, gw.HeaderNoWait,
+		gw.HeaderObjective, gw.HeaderPriority, gw.HeaderNoWait, gw.HeaderCallerID,
 	} {
 		value, ok := gwforward.Single(in.Header, name)
 		if !ok {
@@ -39,7 +39,7 @@
 		return bad("the timeout is not a number of milliseconds")
 	}
 	req := &gwforward.Request{
-		ID: values[gw.HeaderRequestID], OperationID: values[gw.HeaderOperationID],
+		ID: values[gw.HeaderRequestID], CallerID: values[gw.HeaderCallerID], OperationID: values[gw.HeaderOperationID],
 		Tenant: gw.TenantName(values[gw.HeaderTenant]),
 		Target: gw.Target{
 			Service: gw.ServiceName(values[gw.HeaderService]), Server: gw.ServerName(values[gw.HeaderServer]),
--- a/internal/request/gwrelay/relay.go
+++ b/internal/request/gwrelay/relay.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"net/http"
 	"slices"
 	"time"
@@ -24,7 +25,9 @@
 
 // New returns a relay.
 func New(opts ...Option) *Relay {
-	o := Options{Barred: func(gw.ServerName) bool { return false }}
+	o := Options{
+		Barred: func(gw.ServerName) bool { return false }, Logger: slog.New(slog.DiscardHandler),
+	}
 	for _, opt := range opts {
 		opt(&o)
 	}
@@ -48,8 +51,10 @@
 	if refusal != nil {
 		cancel()
 		r.count(refusal.Reason)
+		r.logEnd(req, time.Time{}, gw.DispatchServer{}, refusal)
 		return nil, refusal
 	}
+	sent := time.Now()
 	server := slot.Server()
 	toServer := *req
 	toServer.Address, toServer.Relay = server.Address, false
@@ -68,6 +73,7 @@
 		cancel()
 		slot.Done(failedResult(failed))
 		r.count(failed.Reason)
+		r.logEnd(req, sent, server, failed.Refusal)
 		return nil, failed.Refusal
 	}
 	answer.OnEnd(func(a *gwforward.Answer, whole bool) {
@@ -112,6 +118,33 @@
 	r.results.WithLabelValues(string(result.Outcome), "").Inc()
 }
 
+// logEnd logs an attempt that got no answer of the server, with what the dispatcher knew: probes for a free slot are left
+// out, since the entry host goes on.
+func (r *Relay) logEnd(req *gwforward.Request, sent time.Time, server gw.DispatchServer, refusal *gw.Refusal) {
+	if req.NoWait && refusal.Reason == gw.ReasonOverloaded {
+		return
+	}
+	now := time.Now()
+	attrs := []slog.Attr{
+		slog.String("request-id", req.CallerID),
+		slog.String("service", string(req.Target.Service)),
+		slog.String("server", string(req.Target.Server)),
+		slog.String("reason", string(refusal.Reason)),
+		slog.String("outcome", string(refusal.Reason.Outcome())),
+		slog.String("detail", refusal.Detail),
+		slog.Uint64("token", uint64(req.Target.Token)),
+		slog.Int64("left-milliseconds", req.Deadline.Sub(now).Milliseconds()),
+		slog.Int64("retry-after-milliseconds", refusal.RetryAfterMilliseconds),
+	}
+	if sent.IsZero() {
+		attrs = append(attrs, slog.Bool("sent", false))
+	} else {
+		attrs = append(attrs, slog.Bool("sent", true), slog.Int64("at-server-milliseconds", now.Sub(sent).Milliseconds()),
+			slog.String("incarnation", string(server.Incarnation)), slog.Uint64("revision", uint64(server.Revision)))
+	}
+	r.opts.Logger.LogAttrs(context.Background(), slog.LevelInfo, "attempt ended", attrs...)
+}
+
 func (r *Relay) count(reason gw.Reason) {
 	r.results.WithLabelValues(string(reason.Outcome()), string(reason)).Inc()
 }
--- a/outcome.go
+++ b/outcome.go
@@ -51,6 +51,8 @@
 	// HeaderConsent is "true" from an entry host to a dispatcher when the entry host, and not the caller, waits for consent
 	// before it sends the body.
 	HeaderConsent = "Gw-Consent"
+	// HeaderCallerID carries the caller's own id of the request between hosts, for their logs.
+	HeaderCallerID = "Gw-Caller-Id"
 	// HeaderHomeRegions lists the home regions of the tenant on a wrong-region refusal.
 	HeaderHomeRegions = "Gw-Home-Regions"
 )
