dispatch: estimate waits before the first answers by what is running

Cause: in the first second a hot server's queue filled to its bound, and callers were asked to come back after a whole second. Conclusion: refusals say when the queue will have drained, from the first request on.

--- a/internal/request/gwdispatch/rank.go
+++ b/internal/request/gwdispatch/rank.go
@@ -48,7 +48,7 @@
 // before it.
 func (s *serverState) hopelessLate(now time.Time, r *request, ahead int, est quantiles) bool {
 	left := r.Deadline.Add(-est.P50).Sub(now)
-	return ahead > 0 && float64(s.drainTime(now, ahead, est)) > lateShare*float64(left)
+	return ahead > 0 && float64(s.drainTime(now, ahead, s.likelyMean(now, est))) > lateShare*float64(left)
 }
 
 // shed refuses the waiting requests that cannot meet their objective and would be held in vain.
@@ -77,7 +77,7 @@
 
 // busyRefusal returns a refusal that asks the caller to come back when what waits now has been served.
 func (s *serverState) busyRefusal(now time.Time, est quantiles, detail string) *gw.Refusal {
-	wait := max(s.drainTime(now, s.queue.length, est), minRetryAfter)
+	wait := max(s.drainTime(now, s.queue.length, s.likelyMean(now, est)), minRetryAfter)
 	return gw.Refuse(gw.ReasonOverloaded, detail).WithRetryAfter(wait.Milliseconds())
 }
 
@@ -86,15 +86,19 @@
 const minRetryAfter = 50 * time.Millisecond
 
 // drainTime estimates how long it takes until a request behind a number of others gets a slot.
-func (s *serverState) drainTime(now time.Time, ahead int, est quantiles) time.Duration {
+func (s *serverState) drainTime(now time.Time, ahead int, mean time.Duration) time.Duration {
 	usable := s.level.usable(now, s.limits, s.server.Slots)
 	if usable <= 0 {
 		return 0
 	}
-	mean := est.Mean
-	if mean == 0 {
-		// Before the first answers, all that is known is how long requests have been running.
-		mean = max(s.usual, s.oldest(now))
-	}
 	return max(time.Duration(float64(mean)*float64(ahead+1)/usable), s.pace.wait(now, ahead))
 }
+
+// likelyMean returns the mean time of a request. Before there are enough answers for an estimate, all that is known is how
+// long earlier and running requests took.
+func (s *serverState) likelyMean(now time.Time, est quantiles) time.Duration {
+	if est.Mean > 0 {
+		return est.Mean
+	}
+	return max(s.usual, s.oldest(now))
+}
--- a/internal/request/gwdispatch/server.go
+++ b/internal/request/gwdispatch/server.go
@@ -109,6 +109,9 @@
 		return s.busyRefusal(now, est, "no slot is free")
 	}
 	wait := s.expectedWait(now, r.Tenant, est)
+	if !r.Objective.IsZero() {
+		wait = s.drainTime(now, s.queue.ahead(r.Tenant), s.likelyMean(now, est))
+	}
 	start := now.Add(wait)
 	switch {
 	case !r.onTime(start, est.P50) && s.hopelessLate(now, r, s.queue.length, est):
@@ -134,7 +137,7 @@
 
 // expectedWait estimates how long a new request of the tenant would wait, zero without an estimate.
 func (s *serverState) expectedWait(now time.Time, tenant gw.TenantName, est quantiles) time.Duration {
-	return s.drainTime(now, s.queue.ahead(tenant), est)
+	return s.drainTime(now, s.queue.ahead(tenant), est.Mean)
 }
 
 // admits reports whether one more request may start now, and whether it uses the slot that may be used in part only.
