--- a/cmd/geraniumworks/platform.go
+++ b/cmd/geraniumworks/platform.go
@@ -17,8 +17,8 @@
 // which nobody can take over, and bounds how long the servers of a lost controller that nobody else reaches keep keys.
 const platformAuthority = 20 * time.Second
 
-// platformRetryBurst is a twelfth of the retries that the platform allows a service beside the ratio, rounded down: they
-// are counted over all hosts.
+// platformRetryBurst is a twelfth of the retries that the platform allows a service beside the ratio, rounded
+// down: they are counted over all hosts.
 const platformRetryBurst = 5
 
 // platformBackend returns the connection to the users' platform.
@@ -37,7 +37,8 @@
 		timing.Authority = platformAuthority
 		return gwhost.Backend{
 			Store: p.Store(), HostList: p.HostList(), Servers: p.Servers(), Configs: p,
-			CallerProtocol: p.CallerProtocol(), ServerProtocol: p.ServerProtocol(), Timing: timing, RetryBurst: platformRetryBurst,
+			CallerProtocol: p.CallerProtocol(), ServerProtocol: p.ServerProtocol(),
+			Timing: timing, RetryBurst: platformRetryBurst,
 			Run: p.Run, Leave: p.Leave, ReadPromptly: p.ReadPromptly,
 		}
 	}
--- a/internal/process/gwhost/host.go
+++ b/internal/process/gwhost/host.go
@@ -7,6 +7,10 @@
 	"math/rand/v2"
 	"sync/atomic"
 
+	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
 	gw "github.com/geraniumworks/geraniumworks"
 	"github.com/geraniumworks/geraniumworks/internal/connection/gwpeer"
 	"github.com/geraniumworks/geraniumworks/internal/connection/gwpool"
@@ -23,9 +27,6 @@
 	"github.com/geraniumworks/geraniumworks/internal/request/gwretry"
 	"github.com/geraniumworks/geraniumworks/internal/version/gwfeed"
 	"github.com/geraniumworks/geraniumworks/internal/version/gwtable"
-	"github.com/google/uuid"
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/collectors"
 )
 
 // Host is one geraniumworks process.
--- a/internal/process/gwlog/log.go
+++ b/internal/process/gwlog/log.go
@@ -53,7 +53,8 @@
 // New returns a Log that writes JSON, or text, from a level on.
 func New(out io.Writer, level slog.Level, asText bool) *Log {
 	s := &state{
-		out: out, lines: make(chan []byte, waitingLines), ending: make(chan struct{}), total: rate.NewLimiter(bytesPerSecond, bytesBurst),
+		out: out, lines: make(chan []byte, waitingLines), ending: make(chan struct{}),
+		total: rate.NewLimiter(bytesPerSecond, bytesBurst),
 		kinds: map[string]*rate.Limiter{}, leftOut: map[string]int{},
 		left: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "geraniumworks_log_lines_left_out_total", Help: "Log lines that were not written, by message.",
--- a/internal/process/gwmembers/members.go
+++ b/internal/process/gwmembers/members.go
@@ -95,7 +95,8 @@
 	return listing.Hosts
 }
 
-// Run reads the host list at intervals, and when it is known to have changed, until ctx ends. While the list cannot be read, the latest listing stays in use.
+// Run reads the host list at intervals, and when it is known to have changed, until ctx ends. While the list
+// cannot be read, the latest listing stays in use.
 func (m *Members) Run(ctx context.Context) error {
 	for {
 		m.read(ctx)
@@ -159,8 +160,8 @@
 	return newest
 }
 
-// withoutGone leaves out the lapsed entries that this host already knows to be gone: the reader of the list may have been
-// cut off from it alone. The caller holds mu.
+// withoutGone leaves out the lapsed entries that this host already knows to be gone: the reader of the list may
+// have been cut off from it alone. The caller holds mu.
 func (m *Members) withoutGone(servers []gw.ServerEntry) []gw.ServerEntry {
 	return slices.DeleteFunc(slices.Clone(servers), func(s gw.ServerEntry) bool {
 		return s.Lapsed && !slices.ContainsFunc(m.listing.Servers, func(known gw.ServerEntry) bool {
--- a/internal/process/gwmembers/members_test.go
+++ b/internal/process/gwmembers/members_test.go
@@ -46,9 +46,9 @@
 	require.Equal(t, list.listing, listing)
 }
 
-// Guards against a server that has left and is used again because another host, which was cut off from the list, still
-// kept its entry (DRAIN on muyiz-registry, scale-2, seed 941038302849); and against the loss of all servers when the list
-// comes back empty after an outage.
+// Guards against a server that has left and is used again because another host, which was cut off from the list,
+// still kept its entry (DRAIN on muyiz-registry, scale-2, seed 941038302849); and against the loss of all servers
+// when the list comes back empty after an outage.
 func TestLapsedEntriesDoNotBringServersBack(t *testing.T) {
 	list := &fixedList{listing: gw.Listing{Revision: 5, Servers: []gw.ServerEntry{{Name: "s1", State: gw.EntryLive}}}}
 	m := New(list)
--- a/internal/process/gwsettings/settings.go
+++ b/internal/process/gwsettings/settings.go
@@ -221,7 +221,10 @@
 
 func (a Addresses) check(field string, required bool, fail func(field, problem, allowed string)) {
 	for _, each := range []struct{ name, address string }{
-		{"callers", a.Callers}, {"relay", a.Relay}, {"peers", a.Peers}, {"operators", a.Operators},
+		{"callers", a.Callers},
+		{"relay", a.Relay},
+		{"peers", a.Peers},
+		{"operators", a.Operators},
 		{"readiness", a.Readiness},
 	} {
 		if each.address != "" || required && each.name != "readiness" {
--- a/internal/request/gwdispatch/rank.go
+++ b/internal/request/gwdispatch/rank.go
@@ -94,8 +94,8 @@
 	return max(time.Duration(float64(mean)*float64(ahead+1)/usable), s.pace.wait(now, ahead))
 }
 
-// likelyMean returns the mean time of a request. Before there are enough answers for an estimate, all that is known is how
-// long earlier and running requests took.
+// likelyMean returns the mean time of a request. Before there are enough answers for an estimate, all that is
+// known is how long earlier and running requests took.
 func (s *serverState) likelyMean(now time.Time, est quantiles) time.Duration {
 	if est.Mean > 0 {
 		return est.Mean
--- a/internal/request/gwdispatch/rank_test.go
+++ b/internal/request/gwdispatch/rank_test.go
@@ -115,8 +115,8 @@
 	p.until(p.now.Add(2 * replayDeadline))
 }
 
-// Load pattern: twice what the server bears, for ten seconds. Guards against a queue in which every request waits so long
-// that all answers are late, and against requests that are held to their end in vain.
+// Load pattern: twice what the server bears, for ten seconds. Guards against a queue in which every request waits
+// so long that all answers are late, and against requests that are held to their end in vain.
 func TestTwiceTheCapacity(t *testing.T) {
 	bears := 2 * time.Second.Seconds() / replayWork.Seconds()
 	ranked, naive := newReplay(), newReplay()
@@ -143,7 +143,8 @@
 	require.Positive(t, p.late)
 }
 
-// Guards against a request that is served before a more urgent one, and against one that asks for a free slot and waits.
+// Guards against a request that is served before a more urgent one, and against one that asks for a free slot and
+// waits.
 func TestOrderAndNoWait(t *testing.T) {
 	p := newReplay()
 	submit := func(r gw.SlotRequest) *request {
--- a/internal/request/gwdispatch/server.go
+++ b/internal/request/gwdispatch/server.go
@@ -93,7 +93,7 @@
 			s.refuse(r, s.busyRefusal(now, est, "queue of the server is full"))
 			return
 		}
-		s.refuse(displaced, s.busyRefusal(now, est, "queue of the server is full and another tenant has fewer requests in it"))
+		s.refuse(displaced, s.busyRefusal(now, est, "queue of the server is full and another tenant has fewer in it"))
 	}
 	r.ready = make(chan struct{})
 	s.queue.push(r)
--- a/internal/request/gwentry/attempt.go
+++ b/internal/request/gwentry/attempt.go
@@ -49,7 +49,8 @@
 		}
 		d := c.retries.Retry(limits, gwretry.Failed{
 			Refusal: last, HasKey: res.target.HasKey, Repeatable: c.repeatable, Replayable: c.body.Replayable(),
-			Attempts: c.attempts, MaxAttempts: c.route.Attempts, Now: time.Now(), Deadline: c.deadline, Jitter: mathrand.Float64(),
+			Attempts: c.attempts, MaxAttempts: c.route.Attempts, Now: time.Now(), Deadline: c.deadline,
+			Jitter: mathrand.Float64(),
 		})
 		if d.Verdict != gwretry.VerdictRetry || cancelled(ctx) {
 			return nil, c.final(last)
--- a/internal/request/gwentry/call.go
+++ b/internal/request/gwentry/call.go
@@ -166,7 +166,8 @@
 	return nil
 }
 
-// returnMilliseconds is what an answer needs from here to the caller, and the request needed to arrive here: 8 ms each way.
+// returnMilliseconds is what an answer needs from here to the caller, and the request needed to arrive here: 8 ms
+// each way.
 const returnMilliseconds = 16
 
 // readBody reads a small body whole and prepares the streaming of others.
--- a/internal/request/gwentry/entry_test.go
+++ b/internal/request/gwentry/entry_test.go
@@ -62,7 +62,10 @@
 			require.Equal(t, "run-1", answer.header.Get(gw.HeaderIncarnation))
 		}
 		require.Equal(t, "a/b", sys.router.calls[0].Key)
-		eventually(t, func() bool { open, results := sys.dispatcher.state(); return open == 0 && len(results) == len(sizes) }, "slots")
+		eventually(t, func() bool {
+			open, results := sys.dispatcher.state()
+			return open == 0 && len(results) == len(sizes)
+		}, "slots")
 		require.Equal(t, 1, sys.pool.Open(server), "the connection to the server was not reused")
 	})
 }
--- a/internal/request/gwentry/fault_test.go
+++ b/internal/request/gwentry/fault_test.go
@@ -119,9 +119,10 @@
 		limits:  gw.ServiceLimits{RetryPercent: 10},
 		servers: map[gw.ServerName]string{"s1": refusing, "s2": taking},
 	})
-	require.Equal(t, 200, sys.do("POST", "/claims/1", strings.NewReader(strings.Repeat("x", gwforward.MaxBufferedBytes))).status)
+	largest := strings.Repeat("x", gwforward.MaxBufferedBytes)
+	require.Equal(t, 200, sys.do("POST", "/claims/1", strings.NewReader(largest)).status)
 	require.EqualValues(t, gwforward.MaxBufferedBytes, length.Load())
-	got := sys.do("POST", "/claims/1", strings.NewReader(strings.Repeat("x", gwforward.MaxBufferedBytes+1)))
+	got := sys.do("POST", "/claims/1", strings.NewReader(largest+"x"))
 	require.Equal(t, 503, got.status)
 	require.Equal(t, gw.OutcomeNotRun, got.outcome())
 }
--- a/internal/request/gwentry/index.go
+++ b/internal/request/gwentry/index.go
@@ -56,8 +56,8 @@
 	return gw.Route{}, false
 }
 
-// hasPrefix reports whether the prefix covers whole segments of the path. A prefix that ends with a slash covers the paths
-// below it only.
+// hasPrefix reports whether the prefix covers whole segments of the path. A prefix that ends with a slash covers
+// the paths below it only.
 func hasPrefix(path, prefix string) bool {
 	if strings.HasSuffix(prefix, "/") {
 		return strings.HasPrefix(path, prefix)
--- a/internal/request/gwentry/patience.go
+++ b/internal/request/gwentry/patience.go
@@ -6,8 +6,8 @@
 	gw "github.com/geraniumworks/geraniumworks"
 )
 
-// patience remembers the longest timeout that callers of each route have given. A caller that comes back after a refusal
-// gives what is left of it, so that the difference is the time that its request has already taken.
+// patience remembers the longest timeout that callers of each route have given. A caller that comes back after a
+// refusal gives what is left of it, so that the difference is the time that its request has already taken.
 type patience struct {
 	mu      sync.RWMutex
 	longest map[gw.RouteName]int64
--- a/internal/request/gwentry/search.go
+++ b/internal/request/gwentry/search.go
@@ -11,8 +11,9 @@
 // in one of eight cases when half of the servers are.
 const maxProbes = 3
 
-// search looks for a server with a free slot. It answers uneven queues: what an entry host knows of the load of a server
-// is older than the time for which a slot is taken, so that it asks instead, and waits where the queue is shortest.
+// search looks for a server with a free slot. It answers uneven queues: what an entry host knows of the load of a
+// server is older than the time for which a slot is taken, so that it asks instead, and waits where the queue is
+// shortest.
 type search struct {
 	// noWait is set while the attempt asks for a free slot only.
 	noWait bool
--- a/internal/request/gwforward/receive.go
+++ b/internal/request/gwforward/receive.go
@@ -12,9 +12,9 @@
 	gw "github.com/geraniumworks/geraniumworks"
 )
 
-// MaxBufferedBytes is the size up to which request bodies are read before the request is sent. The request can then be
-// sent again, a slow sender does not occupy a slot, and the server of net/http notices a sender that leaves, which it does
-// only after the end of the body. Twenty bodies of this size are 10 MB.
+// MaxBufferedBytes is the size up to which request bodies are read before the request is sent. The request can
+// then be sent again, a slow sender does not occupy a slot, and the server of net/http notices a sender that
+// leaves, which it does only after the end of the body. Twenty bodies of this size are 10 MB.
 const MaxBufferedBytes = 512 << 10
 
 // firstBufferBytes is what a body occupies before anything of it has arrived.
@@ -36,8 +36,9 @@
 	return in.Header.Get(gw.HeaderConsent) == "true"
 }
 
-// Receive reads the body of a request whole when it is small, and prepares the streaming of others. It returns nil for a
-// request without body, ErrBodyTooLarge for a body above limit, and ErrBodyFailed when the body does not arrive.
+// Receive reads the body of a request whole when it is small, and prepares the streaming of others. It returns nil
+// for a request without body, ErrBodyTooLarge for a body above limit, and ErrBodyFailed when the body does not
+// arrive.
 func Receive(in *http.Request, limit int64, use BodyUse) (*Body, error) {
 	n := in.ContentLength
 	expects := strings.EqualFold(in.Header.Get("Expect"), "100-continue") && !AsksConsent(in)
--- a/internal/request/gwforward/request.go
+++ b/internal/request/gwforward/request.go
@@ -91,11 +91,12 @@
 	}
 }
 
-// consentAbove is the size in bytes from which a body waits for the consent of a relay in another region: it takes several
-// round trips, and bytes between regions are paid for.
+// consentAbove is the size in bytes from which a body waits for the consent of a relay in another region: it takes
+// several round trips, and bytes between regions are paid for.
 const consentAbove = 16 << 10
 
-// asksConsent reports whether the receiver is asked for consent before the body is sent, although the caller did not ask.
+// asksConsent reports whether the receiver is asked for consent before the body is sent, although the caller did
+// not ask.
 func (r *Request) asksConsent() bool {
 	return r.Relay && r.Target.RemoteRegion && r.Body.src == nil && !r.Body.expects && r.Body.length > consentAbove
 }
--- a/internal/request/gwrelay/relay.go
+++ b/internal/request/gwrelay/relay.go
@@ -118,8 +118,8 @@
 	r.results.WithLabelValues(string(result.Outcome), "").Inc()
 }
 
-// logEnd logs an attempt that got no answer of the server, with what the dispatcher knew: probes for a free slot are left
-// out, since the entry host goes on.
+// logEnd logs an attempt that got no answer of the server, with what the dispatcher knew: probes for a free slot
+// are left out, since the entry host goes on.
 func (r *Relay) logEnd(req *gwforward.Request, sent time.Time, server gw.DispatchServer, refusal *gw.Refusal) {
 	if req.NoWait && refusal.Reason == gw.ReasonOverloaded {
 		return
--- a/internal/version/gwconfig/schema_test.go
+++ b/internal/version/gwconfig/schema_test.go
@@ -50,8 +50,10 @@
 	"WeightedService.weight":           {"minimum": 1, "maximum": 1_000_000},
 	"Route.host":                       {"pattern": gwconfig.Patterns["host"]},
 	"Route.path-prefix":                {"pattern": gwconfig.Patterns["path-prefix"]},
-	"KeySource.from":                   {"enum": []gw.KeySourceKind{gw.KeyFromPathSegment, gw.KeyFromHeader, gw.KeyFromQuery}},
-	"KeySource.segment":                {"minimum": 0, "maximum": gwconfig.MaxSegment, "default": 0},
+	"KeySource.from": {
+		"enum": []gw.KeySourceKind{gw.KeyFromPathSegment, gw.KeyFromHeader, gw.KeyFromQuery},
+	},
+	"KeySource.segment": {"minimum": 0, "maximum": gwconfig.MaxSegment, "default": 0},
 	"Route.repeatable-methods": {
 		"uniqueItems": true, "default": []string{"GET", "HEAD", "OPTIONS"},
 		"items": map[string]any{"type": "string", "enum": gwconfig.Methods},
--- a/internal/version/gwfeed/feed.go
+++ b/internal/version/gwfeed/feed.go
@@ -108,8 +108,8 @@
 	}
 }
 
-// Keep holds an item that every data centre reads for itself, for the hosts that pull from this one. A relay offers it to
-// the relays of its region too, whose own path to the source may be cut.
+// Keep holds an item that every data centre reads for itself, for the hosts that pull from this one. A relay
+// offers it to the relays of its region too, whose own path to the source may be cut.
 func (f *Feed) Keep(item gw.Item) error {
 	if err := f.put("own", []gw.Item{item}); err != nil {
 		return err
--- a/internal/version/gwfeed/offer.go
+++ b/internal/version/gwfeed/offer.go
@@ -39,9 +39,9 @@
 	_ = group.Wait()
 }
 
-// offerTargets returns the relays that are offered items: all of the own region, and of each data centre of other regions
-// the first, since bytes between regions are dear and the second pulls from it. The second is offered them too while the
-// first does not accept.
+// offerTargets returns the relays that are offered items: all of the own region, and of each data centre of other
+// regions the first, since bytes between regions are dear and the second pulls from it. The second is offered them
+// too while the first does not accept.
 func (f *Feed) offerTargets() []gw.HostEntry {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/version/gwspread/draft.go
+++ b/internal/version/gwspread/draft.go
@@ -197,8 +197,8 @@
 	}
 }
 
-// replace gives new owners to ranges that must leave theirs at once: ranges without owner if the cell leads, and those of
-// expired and leaving servers of the cell.
+// replace gives new owners to ranges that must leave theirs at once: ranges without owner if the cell leads, and
+// those of expired and leaving servers of the cell.
 func (d *draft) replace() {
 	var urgent []int
 	for i := range d.ranges {
--- a/internal/version/gwspread/policy.go
+++ b/internal/version/gwspread/policy.go
@@ -1,10 +1,10 @@
-// Package gwspread decides which server should own which range of a key space whose busy keys are neighbours and change
-// within seconds.
+// Package gwspread decides which server should own which range of a key space whose busy keys are neighbours and
+// change within seconds.
 //
-// It answers three patterns of load: a block of neighbouring keys that gets a large share of the requests for a few
-// seconds, servers of different speed, and servers that come, leave or are lost. Moves off live servers are cheap there,
-// since keys arrive warm with what their former owner hands over, so that it has no churn budget. Package gwplace is for
-// key spaces of hashed keys.
+// It answers three patterns of load: a block of neighbouring keys that gets a large share of the requests for a
+// few seconds, servers of different speed, and servers that come, leave or are lost. Moves off live servers are
+// cheap there, since keys arrive warm with what their former owner hands over, so that it has no churn budget.
+// Package gwplace is for key spaces of hashed keys.
 package gwspread
 
 import (
--- a/internal/version/gwspread/policy_test.go
+++ b/internal/version/gwspread/policy_test.go
@@ -165,8 +165,8 @@
 	}
 }
 
-// Guards against a block of busy neighbours that stays with one server, against ranges that stay with servers that leave
-// or are lost, against servers that join and get nothing, and against moves for the noise of a count.
+// Guards against a block of busy neighbours that stays with one server, against ranges that stay with servers that
+// leave or are lost, against servers that join and get nothing, and against moves for the noise of a count.
 func TestScenes(t *testing.T) {
 	data, err := os.ReadFile("testdata/scenes.json")
 	require.NoError(t, err)
--- a/outcome.go
+++ b/outcome.go
@@ -43,13 +43,13 @@
 	HeaderRepeatable = "Gw-Repeatable"
 	// HeaderRetryAfter carries Refusal.RetryAfterMilliseconds.
 	HeaderRetryAfter = "Gw-Retry-After-Milliseconds"
-	// HeaderObjective carries the milliseconds until the objective of the request, HeaderPriority its rank, and HeaderNoWait
-	// is "true" when the request must not wait for a slot; from an entry host to a dispatcher.
+	// HeaderObjective carries the milliseconds until the objective of the request, HeaderPriority its rank, and
+	// HeaderNoWait is "true" when the request must not wait for a slot; from an entry host to a dispatcher.
 	HeaderObjective = "Gw-Objective-Milliseconds"
 	HeaderPriority  = "Gw-Priority"
 	HeaderNoWait    = "Gw-No-Wait"
-	// HeaderConsent is "true" from an entry host to a dispatcher when the entry host, and not the caller, waits for consent
-	// before it sends the body.
+	// HeaderConsent is "true" from an entry host to a dispatcher when the entry host, and not the caller, waits for
+	// consent before it sends the body.
 	HeaderConsent = "Gw-Consent"
 	// HeaderCallerID carries the caller's own id of the request between hosts, for their logs.
 	HeaderCallerID = "Gw-Caller-Id"
