--- a/cmd/geraniumctl/commands.go
+++ b/cmd/geraniumctl/commands.go
@@ -70,6 +70,12 @@
 Examples:
   geraniumctl explain names
   geraniumctl explain https://names.example/names/De%20Geranium`, &explainCommand{app: a}},
+		{"trace", "Follow a request through the hosts' logs", `Reads log files of hosts, or standard input, and shows ` +
+			`in order what happened to a request, and what the hosts on its way came to believe before its end.
+
+Examples:
+  geraniumctl trace 9c41d07be2a35f68 /var/log/geraniumworks/*.log
+  cat *.log | geraniumctl trace 9c41d07be2a35f68 --around 5s`, &traceCommand{app: a}},
 		{"owner", "Show which server owns a key", `Asks a host for the owner of a key.
 
 Examples:
