--- a/cmd/geraniumworks/main.go
+++ b/cmd/geraniumworks/main.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/jessevdk/go-flags"
@@ -52,6 +53,7 @@
 	}
 	var options []gwhost.Option
 	if settings.Platform.StoreEndpoint != "" {
+		debug.SetGCPercent(platformGCPercent)
 		options = append(options, gwhost.WithBackend(platformBackend(settings)))
 	}
 	log := settings.NewLog(c.stdout)
--- a/cmd/geraniumworks/platform.go
+++ b/cmd/geraniumworks/platform.go
@@ -17,6 +17,17 @@
 // which nobody can take over, and bounds how long the servers of a lost controller that nobody else reaches keep keys.
 const platformAuthority = 20 * time.Second
 
+const (
+	// platformReadEvery lets two reads in a row be lost before authority ends. Calls to the store are paid for.
+	platformReadEvery = 7 * time.Second
+	// platformCandidateReadEvery is a safety net only: candidates hear of commits within a fraction of a second.
+	platformCandidateReadEvery = time.Minute
+)
+
+// platformGCPercent keeps the heap at 1.4 times what is in use. Memory at its peak is dear on the platform, and a host uses
+// a twentieth of a core.
+const platformGCPercent = 40
+
 // platformRetryBurst is a twelfth of the retries that the platform allows a service beside the ratio, rounded
 // down: they are counted over all hosts.
 const platformRetryBurst = 5
@@ -35,6 +46,8 @@
 		)
 		timing := gwlease.DefaultTiming()
 		timing.Authority = platformAuthority
+		timing.ReadEvery = platformReadEvery
+		timing.CandidateReadEvery = platformCandidateReadEvery
 		return gwhost.Backend{
 			Store: p.Store(), HostList: p.HostList(), Servers: p.Servers(), Configs: p,
 			CallerProtocol: p.CallerProtocol(), ServerProtocol: p.ServerProtocol(),
--- a/internal/process/gwlease/options.go
+++ b/internal/process/gwlease/options.go
@@ -27,6 +27,9 @@
 	DescribeEvery time.Duration
 	ProbeEvery    time.Duration
 	ReadEvery     time.Duration
+	// CandidateReadEvery is the interval between reads of a candidate, which learns of commits from the feed too and reads
+	// before it takes over.
+	CandidateReadEvery time.Duration
 	// ProbeTimeout is how long the answer to a probe or a handover is waited for. It is shorter than ProbeEvery,
 	// so that the third miss is known within 2 s of the last answer.
 	ProbeTimeout time.Duration
@@ -52,7 +55,7 @@
 		RatePercent: 5, ClockMargin: 100 * time.Millisecond,
 		RenewEvery: 500 * time.Millisecond, LeaseEvery: 300 * time.Millisecond, DescribeEvery: 2 * time.Second,
 		ProbeEvery: 500 * time.Millisecond, ProbeTimeout: 300 * time.Millisecond,
-		ReadEvery: 10 * time.Second, Misses: 3,
+		ReadEvery: 10 * time.Second, CandidateReadEvery: 10 * time.Second, Misses: 3,
 		RequestTimeout: 1500 * time.Millisecond, GrantTimeout: 500 * time.Millisecond,
 		ReleaseTimeout: 5 * time.Second, StoreTimeout: 2 * time.Second,
 		LostAfter: 3 * time.Second, DirectoryWait: 300 * time.Millisecond,
--- a/internal/process/gwlease/record.go
+++ b/internal/process/gwlease/record.go
@@ -60,7 +60,8 @@
 	if c.outstanding(c.record.readID) || c.now.Before(c.store.retryAt) || c.stopping && !c.controls() {
 		return
 	}
-	due := c.due(c.record.readAt.Add(c.o.timing.ReadEvery)) && (c.controls() || c.isCandidate())
+	due := c.controls() && c.due(c.record.readAt.Add(c.o.timing.ReadEvery)) ||
+		c.isCandidate() && c.due(c.record.readAt.Add(c.o.timing.CandidateReadEvery))
 	if c.record.known && !due && !c.readNeeded() {
 		return
 	}
--- a/internal/process/gwlease/sim_test.go
+++ b/internal/process/gwlease/sim_test.go
@@ -229,8 +229,10 @@
 	}
 	t := DefaultTiming()
 	t.Authority, t.ReadEvery = 20*time.Second, 3*time.Second
+	t.CandidateReadEvery = t.ReadEvery
 	if m.sc.ShortAuthority {
 		t.Authority, t.ReadEvery = 4*time.Second, time.Second
+		t.CandidateReadEvery = t.ReadEvery
 	}
 	for _, dc := range []gw.DataCentreName{"a", "b"}[:m.sc.Cells] {
 		cell := gw.CellID{Service: simService, DataCentre: dc}
