--- a/internal/request/gwentry/attempt.go
+++ b/internal/request/gwentry/attempt.go
@@ -15,16 +15,6 @@
 // maxRouteWait is how long a request waits for newer state when the table cannot be right.
 const maxRouteWait = time.Second
 
-// leastRouteWait is how long a request waits although its objective has passed: a planned move of a key takes as long.
-const leastRouteWait = 250 * time.Millisecond
-
-func later(x, y time.Time) time.Time {
-	if y.After(x) {
-		return y
-	}
-	return x
-}
-
 // result is how an attempt ended.
 type result struct {
 	target  gw.Target
@@ -51,10 +41,6 @@
 			return res.answer, nil
 		}
 		last = res.refusal
-		if last.Unsent && !c.search.noWait {
-			c.attempts--
-			c.unsent++
-		}
 		if c.search.noWait && last.Reason == gw.ReasonOverloaded {
 			// Nothing was sent to a server, so that the next one is no retry.
 			c.attempts--
@@ -63,7 +49,7 @@
 		}
 		d := c.retries.Retry(limits, gwretry.Failed{
 			Refusal: last, HasKey: res.target.HasKey, Repeatable: c.repeatable, Replayable: c.body.Replayable(),
-			Attempts: c.attempts, Unsent: c.unsent, MaxAttempts: c.route.Attempts, Now: time.Now(), Deadline: c.deadline,
+			Attempts: c.attempts, MaxAttempts: c.route.Attempts, Now: time.Now(), Deadline: c.deadline,
 			Jitter: mathrand.Float64(),
 		})
 		if d.Verdict != gwretry.VerdictRetry || cancelled(ctx) {
@@ -117,10 +103,9 @@
 // ask asks the router for a target under the conditions of req. It waits for newer state for as long as an answer
 // would be worth much to the caller.
 func (c *call) ask(ctx context.Context, req gw.RouteRequest) (gw.Target, *gw.Refusal) {
-	now := time.Now()
-	until := now.Add(maxRouteWait)
-	if least := now.Add(leastRouteWait); !c.objective.IsZero() && c.objective.Before(until) {
-		until = later(c.objective, least)
+	until := time.Now().Add(maxRouteWait)
+	if !c.objective.IsZero() && c.objective.Before(until) {
+		until = c.objective
 	}
 	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
--- a/internal/request/gwentry/call.go
+++ b/internal/request/gwentry/call.go
@@ -37,9 +37,7 @@
 	body      *gwforward.Body
 	retries   *gwretry.Service
 
-	// attempts counts those that were sent to a server, unsent those that a dispatcher refused before.
 	attempts int
-	unsent   int
 	// lastServer, lastHost and lastToken are those of the last attempt's target.
 	lastServer gw.ServerName
 	lastHost   gw.HostName
--- a/internal/request/gwforward/native.go
+++ b/internal/request/gwforward/native.go
@@ -52,9 +52,6 @@
 	if refusal.RetryAfterSeconds > 0 {
 		set(h, "Retry-After", itoa(int64(refusal.RetryAfterSeconds)))
 	}
-	if refusal.Unsent {
-		set(h, gw.HeaderUnsent, "true")
-	}
 	if refusal.RetryAfterMilliseconds > 0 {
 		set(h, gw.HeaderRetryAfter, itoa(refusal.RetryAfterMilliseconds))
 	}
--- a/internal/request/gwforward/refusal.go
+++ b/internal/request/gwforward/refusal.go
@@ -73,8 +73,6 @@
 	}
 	refusal := gw.Refuse(reason, "refused at the dispatcher")
 	refusal.RetryAfterSeconds = retryAfter(resp.Header)
-	unsent, _ := Single(resp.Header, gw.HeaderUnsent)
-	refusal.Unsent = unsent == "true"
 	if value, _ := Single(resp.Header, gw.HeaderRetryAfter); value != "" {
 		if n, err := strconv.ParseInt(value, 10, 64); err == nil && n > 0 {
 			refusal.RetryAfterMilliseconds = min(n, maxRetryAfterSeconds*1000)
--- a/internal/request/gwrelay/relay.go
+++ b/internal/request/gwrelay/relay.go
@@ -52,7 +52,7 @@
 		cancel()
 		r.count(refusal.Reason)
 		r.logEnd(req, time.Time{}, gw.DispatchServer{}, refusal)
-		return nil, refusal.WithUnsent()
+		return nil, refusal
 	}
 	sent := time.Now()
 	server := slot.Server()
--- a/internal/request/gwretry/decide.go
+++ b/internal/request/gwretry/decide.go
@@ -15,9 +15,8 @@
 	Repeatable bool
 	// Replayable is true when the body can be sent from its first byte.
 	Replayable bool
-	// Attempts counts the attempts so far that were sent to a server, Unsent those that a dispatcher refused before.
+	// Attempts counts the attempts so far.
 	Attempts int
-	Unsent   int
 	// MaxAttempts is the route's bound, zero when the policy's bound is all there is.
 	MaxAttempts int
 	Now         time.Time
@@ -58,9 +57,6 @@
 // dispatcher did not take the request. It doubles with each attempt.
 const refreshWait = 20 * time.Millisecond
 
-// maxUnsent bounds the attempts of one request that dispatchers refuse, each of which costs a hop.
-const maxUnsent = 6
-
 // shedWait is how long a retry at a server that rejected a request waits.
 const shedWait = 5 * time.Millisecond
 
@@ -76,7 +72,7 @@
 		d.Verdict = VerdictNotRepeatable
 	case !f.Replayable:
 		d.Verdict = VerdictBodyGone
-	case f.Attempts >= maxAttempts || f.Unsent >= maxUnsent:
+	case f.Attempts >= maxAttempts:
 		d.Verdict = VerdictAttempts
 	case f.Deadline.Sub(later(f.Now, d.NotBefore)) < minLeft:
 		d.Verdict = VerdictDeadline
--- a/internal/request/gwretry/policy.go
+++ b/internal/request/gwretry/policy.go
@@ -83,8 +83,7 @@
 // Retry decides what to do after a refused attempt, and takes a retry from the budget when it permits one.
 func (s *Service) Retry(limits gw.ServiceLimits, f Failed) Decision {
 	d := decide(f, s.policy.opts.Attempts)
-	if d.Verdict == VerdictRetry && !f.Refusal.Unsent {
-		// What no server got adds nothing to the load of servers.
+	if d.Verdict == VerdictRetry {
 		s.mu.Lock()
 		if !s.retries.take(limits.RetryPercent) {
 			d.Verdict = VerdictBudget
--- a/outcome.go
+++ b/outcome.go
@@ -48,8 +48,6 @@
 	HeaderObjective = "Gw-Objective-Milliseconds"
 	HeaderPriority  = "Gw-Priority"
 	HeaderNoWait    = "Gw-No-Wait"
-	// HeaderUnsent is "true" on a dispatcher's refusal of a request that was sent to no backend server.
-	HeaderUnsent = "Gw-Unsent"
 	// HeaderConsent is "true" from an entry host to a dispatcher when the entry host, and not the caller, waits for
 	// consent before it sends the body.
 	HeaderConsent = "Gw-Consent"
@@ -132,14 +130,6 @@
 	RetryAfterSeconds int `json:"retry-after-seconds,omitempty"`
 	// RetryAfterMilliseconds says the same more precisely, zero when RetryAfterSeconds is all that is known.
 	RetryAfterMilliseconds int64 `json:"retry-after-milliseconds,omitempty"`
-	// Unsent is true when it is certain that the request was sent to no backend server.
-	Unsent bool `json:"-"`
-}
-
-// WithUnsent returns a copy that says that the request was sent to no backend server.
-func (r Refusal) WithUnsent() *Refusal {
-	r.Unsent = true
-	return &r
 }
 
 // WithRetryAfter returns a copy that asks the caller to come back after a time in milliseconds.
