--- a/cmd/geraniumctl/commands.go
+++ b/cmd/geraniumctl/commands.go
@@ -13,6 +13,11 @@
 }
 
 func (a *app) commands() []command {
+	return append(a.changeCommands(), a.lookCommands()...)
+}
+
+// changeCommands are the commands about files and about what is in service.
+func (a *app) changeCommands() []command {
 	return []command{
 		{"check", "Check configuration files", `Checks files without changing anything. With a store, the files ` +
 			`are checked together with those in force; without one, together when a site file is among them.
@@ -59,6 +64,12 @@
 
 Examples:
   geraniumctl in data-centre holland-a --reason "power work is done"`, &inCommand{app: a}},
+	}
+}
+
+// lookCommands are the commands that change nothing.
+func (a *app) lookCommands() []command {
+	return []command{
 		{"status", "Show what is in force", `Shows the version in force, its files, what is out of service, ` +
 			`and, with --admin, the version on each host.
 
--- a/cmd/geraniumctl/trace.go
+++ b/cmd/geraniumctl/trace.go
@@ -62,7 +62,8 @@
 	}
 	found := traceOf(all, c.Args.RequestID, c.Around)
 	if len(found) == 0 {
-		return eris.Wrapf(gw.ErrNotFound, "no line is about request %s; regular ends are logged for one in 64", c.Args.RequestID)
+		return eris.Wrapf(gw.ErrNotFound, "no line is about request %s; regular ends are logged for one in 64",
+			c.Args.RequestID)
 	}
 	rows := [][]string{{"TIME", "HOST", "WHAT", "WHY"}}
 	for _, l := range found {
--- a/cmd/geraniumctl/trace_test.go
+++ b/cmd/geraniumctl/trace_test.go
@@ -8,8 +8,8 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Guards against a request whose way through several hosts cannot be followed from their logs, and against lines of other
-// requests, or of a later time, that are taken for its cause. The logs are in testdata/trace.
+// Guards against a request whose way through several hosts cannot be followed from their logs, and against lines
+// of other requests, or of a later time, that are taken for its cause. The logs are in testdata/trace.
 func TestTrace(t *testing.T) {
 	files, err := filepath.Glob("testdata/trace/*.log")
 	require.NoError(t, err)
@@ -17,7 +17,8 @@
 	code := run(append([]string{"trace", "r-7"}, files...), &out, &errOut)
 	require.Zero(t, code, errOut.String())
 	text := out.String()
-	require.Regexp(t, `(?s)cell changed.*event=session-expired.*server=s1.*attempt ended.*reason=no-server.*request ended.*reason=no-owner`, text)
+	require.Regexp(t, `(?s)cell changed.*event=session-expired.*server=s1.*`+
+		`attempt ended.*reason=no-server.*request ended.*reason=no-owner`, text)
 	require.NotContains(t, text, "r-8")
 	require.NotContains(t, text, "session-started", "it came after the end of the request")
 	require.NotContains(t, text, "other-server")
--- a/cmd/geraniumworks/platform.go
+++ b/cmd/geraniumworks/platform.go
@@ -24,8 +24,8 @@
 	platformCandidateReadEvery = time.Minute
 )
 
-// platformGCPercent keeps the heap at 1.4 times what is in use. Memory at its peak is dear on the platform, and a host uses
-// a twentieth of a core.
+// platformGCPercent keeps the heap at 1.4 times what is in use. Memory at its peak is dear on the platform, and a
+// host uses a twentieth of a core.
 const platformGCPercent = 40
 
 // platformRetryBurst is a twelfth of the retries that the platform allows a service beside the ratio, rounded
--- a/internal/request/gwentry/search_test.go
+++ b/internal/request/gwentry/search_test.go
@@ -9,8 +9,8 @@
 	"github.com/geraniumworks/geraniumworks/internal/request/gwforward"
 )
 
-// Load pattern: some servers of a service have long queues and others none. Guards against a request that waits at a long
-// queue, asks for ever, or sends a large body to another region in search of a slot.
+// Load pattern: some servers of a service have long queues and others none. Guards against a request that waits at
+// a long queue, asks for ever, or sends a large body to another region in search of a slot.
 func TestSearch(t *testing.T) {
 	small, large := gwforward.Buffered(make([]byte, 100)), gwforward.Buffered(make([]byte, 60_000))
 	var s search
--- a/internal/request/gwrelay/leave_test.go
+++ b/internal/request/gwrelay/leave_test.go
@@ -53,8 +53,9 @@
 	return http.DefaultTransport.RoundTrip(r)
 }
 
-// Guards against a request with a body that waits for a slot after its caller has left, and then reaches a server: 15 such
-// requests broke a rule on scale-1 of muyiz-registry. net/http notices a caller that leaves only after the end of the body.
+// Guards against a request with a body that waits for a slot after its caller has left, and then reaches a server:
+// 15 such requests broke a rule on scale-1 of muyiz-registry. net/http notices a caller that leaves only after the
+// end of the body.
 func TestCallerThatLeavesStopsWaiting(t *testing.T) {
 	d := &fullServer{waiting: make(chan struct{}), left: make(chan struct{})}
 	url := startRelay(t, d)
@@ -63,7 +64,8 @@
 		<-d.waiting
 		cancel()
 	}()
-	_, err := post(ctx, t, url, strings.Repeat("x", 100_000), gw.HeaderTimeout, "", gw.HeaderTimeout, "60000") //nolint:bodyclose // no answer
+	body := strings.Repeat("x", 100_000)
+	_, err := post(ctx, t, url, body, gw.HeaderTimeout, "", gw.HeaderTimeout, "60000") //nolint:bodyclose // no answer
 	require.Error(t, err)
 	select {
 	case <-d.left:
