dispatch: estimate a new request's wait once

Cause: hopeless estimated the wait with the measured mean, and for requests with an objective again with the likely mean. Change: it chooses the mean first and estimates once; expectedWait had no other caller and is gone. Measured: go test ./internal/request/gwdispatch passes, the recorded case of the naive comparison included. Conclusion: no behaviour changes.

--- a/internal/request/gwdispatch/server.go
+++ b/internal/request/gwdispatch/server.go
@@ -108,10 +108,12 @@
 	if r.NoWait {
 		return s.busyRefusal(now, est, "no slot is free")
 	}
-	wait := s.expectedWait(now, r.Tenant, est)
+	// Without an objective, a request is refused only on an estimate from answers.
+	mean := est.Mean
 	if !r.Objective.IsZero() {
-		wait = s.drainTime(now, s.queue.ahead(r.Tenant), s.likelyMean(now, est))
+		mean = s.likelyMean(now, est)
 	}
+	wait := s.drainTime(now, s.queue.ahead(r.Tenant), mean)
 	start := now.Add(wait)
 	switch {
 	case !r.onTime(start, est.P50) && s.hopelessLate(now, r, s.queue.length, est):
@@ -135,11 +137,6 @@
 	return s.hopeless(now, r, s.times.estimate(now))
 }
 
-// expectedWait estimates how long a new request of the tenant would wait, zero without an estimate.
-func (s *serverState) expectedWait(now time.Time, tenant gw.TenantName, est quantiles) time.Duration {
-	return s.drainTime(now, s.queue.ahead(tenant), est.Mean)
-}
-
 // admits reports whether one more request may start now, and whether it uses the slot that may be used in part only.
 func (s *serverState) admits(now time.Time) (ok, fractional bool) {
 	if !s.pace.admits(now) {
