timer: wait for a time or a context in one place

Waits that end on other events too stay as they are. Conclusion: no behaviour changes, but that a wait of no length after the end of its context always reports the end.

--- a/bench/capacity/feed.go
+++ b/bench/capacity/feed.go
@@ -16,6 +16,7 @@
 
 	gw "github.com/geraniumworks/geraniumworks"
 	"github.com/geraniumworks/geraniumworks/internal/connection/gwpeer"
+	"github.com/geraniumworks/geraniumworks/internal/process/gwtimer"
 	"github.com/geraniumworks/geraniumworks/internal/version/gwfeed"
 )
 
@@ -148,8 +149,8 @@
 			}
 		}
 	}
-	if err := sleep(ctx, time.Second); err != nil {
-		return err
+	if !gwtimer.Sleep(ctx, time.Second) {
+		return ctx.Err()
 	}
 	if changes == 0 {
 		return c.inRest(ctx, members, topics)
@@ -206,8 +207,8 @@
 			if item, ok := m.hub.Get(topic); ok && item.Version.Sequence >= version {
 				break
 			}
-			if err := sleep(ctx, time.Millisecond); err != nil {
-				return eris.Wrapf(err, "waiting for version %d", version)
+			if !gwtimer.Sleep(ctx, time.Millisecond) {
+				return eris.Wrapf(ctx.Err(), "waiting for version %d", version)
 			}
 		}
 	}
@@ -260,8 +261,8 @@
 	}
 	cpu := processorTime()
 	start := time.Now()
-	if err := sleep(ctx, time.Duration(c.Rest)*time.Second); err != nil {
-		return err
+	if !gwtimer.Sleep(ctx, time.Duration(c.Rest)*time.Second) {
+		return ctx.Err()
 	}
 	seconds := time.Since(start).Seconds()
 	cpu = processorTime() - cpu
@@ -290,8 +291,8 @@
 		}
 		times = append(times, time.Since(start).Milliseconds())
 		// Answers of the second relay, and pulls that a host makes only now and then, come later.
-		if err := sleep(ctx, 4*time.Second); err != nil {
-			return err
+		if !gwtimer.Sleep(ctx, 4*time.Second) {
+			return ctx.Err()
 		}
 	}
 	cpu = processorTime() - cpu
--- a/bench/capacity/load.go
+++ b/bench/capacity/load.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 
 	gw "github.com/geraniumworks/geraniumworks"
+	"github.com/geraniumworks/geraniumworks/internal/process/gwtimer"
 	"github.com/geraniumworks/geraniumworks/internal/standin/gwscene"
 )
 
@@ -233,8 +234,8 @@
 			return eris.Wrap(err, "read an answer")
 		}
 	}
-	if err := sleep(ctx, time.Second); err != nil {
-		return err
+	if !gwtimer.Sleep(ctx, time.Second) {
+		return ctx.Err()
 	}
 	if err := c.metrics(ctx, entry, after); err != nil {
 		return err
--- a/bench/capacity/loop.go
+++ b/bench/capacity/loop.go
@@ -9,6 +9,7 @@
 
 	gw "github.com/geraniumworks/geraniumworks"
 	"github.com/geraniumworks/geraniumworks/internal/process/gwcontrol"
+	"github.com/geraniumworks/geraniumworks/internal/process/gwtimer"
 	"github.com/geraniumworks/geraniumworks/internal/version/gwplace"
 	"github.com/geraniumworks/geraniumworks/internal/version/gwtable"
 )
@@ -126,8 +127,8 @@
 			fmt.Println("control loop:", err)
 		}
 	}()
-	if err := sleep(ctx, time.Second); err != nil {
-		return err
+	if !gwtimer.Sleep(ctx, time.Second) {
+		return ctx.Err()
 	}
 	steps, err := stepSeconds(registry)
 	if err != nil {
@@ -139,8 +140,8 @@
 		if _, err := loop.Probe(ctx, gw.ProbeRequest{}); err != nil {
 			return err
 		}
-		if err := sleep(ctx, time.Second/time.Duration(c.Events)); err != nil {
-			return err
+		if !gwtimer.Sleep(ctx, time.Second/time.Duration(c.Events)) {
+			return ctx.Err()
 		}
 	}
 	seconds := time.Since(start).Seconds()
--- a/bench/capacity/rest.go
+++ b/bench/capacity/rest.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	gw "github.com/geraniumworks/geraniumworks"
+	"github.com/geraniumworks/geraniumworks/internal/process/gwtimer"
 	"github.com/geraniumworks/geraniumworks/internal/standin/gwscene"
 )
 
@@ -67,8 +68,8 @@
 		return err
 	}
 	start := time.Now()
-	if err := sleep(ctx, time.Duration(c.Rest)*time.Second); err != nil {
-		return err
+	if !gwtimer.Sleep(ctx, time.Duration(c.Rest)*time.Second) {
+		return ctx.Err()
 	}
 	after, err := c.allMetrics(ctx)
 	if err != nil {
--- a/bench/capacity/scene.go
+++ b/bench/capacity/scene.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 
 	gw "github.com/geraniumworks/geraniumworks"
+	"github.com/geraniumworks/geraniumworks/internal/process/gwtimer"
 	"github.com/geraniumworks/geraniumworks/internal/standin/gwscene"
 )
 
@@ -138,7 +139,8 @@
 	listing := c.scene.Listing()
 	fmt.Printf("scene: %d hosts, %d servers, %d cells, owned after %d ms\n", len(listing.Hosts), len(listing.Servers),
 		c.Regions*c.DataCentres*c.Services, time.Since(start).Milliseconds())
-	return sleep(ctx, warmUp)
+	gwtimer.Sleep(ctx, warmUp)
+	return ctx.Err()
 }
 
 // publish writes the configuration files and publishes them. change makes the files differ from the last ones.
@@ -203,15 +205,3 @@
 	}
 	return nil
 }
-
-// sleep waits for d or returns the error of ctx.
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/connection/gwhostlist/list.go
+++ b/internal/connection/gwhostlist/list.go
@@ -16,6 +16,7 @@
 
 	gw "github.com/geraniumworks/geraniumworks"
 	"github.com/geraniumworks/geraniumworks/internal/connection/gwadapter"
+	"github.com/geraniumworks/geraniumworks/internal/process/gwtimer"
 )
 
 var (
@@ -99,14 +100,10 @@
 // pause waits for a random time below a bound that doubles with each round.
 func (l *List) pause(ctx context.Context, round int) error {
 	bound := l.options.backoffBase << min(round-1, 8)
-	timer := time.NewTimer(rand.N(max(bound, 1)))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !gwtimer.Sleep(ctx, rand.N(max(bound, 1))) {
 		return eris.Wrap(ctx.Err(), "read the host list")
 	}
+	return nil
 }
 
 // read makes one call and counts it.
--- a/internal/connection/gwstore/admit.go
+++ b/internal/connection/gwstore/admit.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	gw "github.com/geraniumworks/geraniumworks"
+	"github.com/geraniumworks/geraniumworks/internal/process/gwtimer"
 )
 
 // errHeldBack reports a call that was not made because the store is out.
@@ -29,8 +30,8 @@
 			return ticket{}, fmt.Errorf("%w: %w for another %s", gw.ErrStoreUnavailable, errHeldBack,
 				wait.Round(time.Millisecond))
 		}
-		if err := sleep(ctx, wait); err != nil {
-			return ticket{}, eris.Wrapf(err, "store %s", kind)
+		if !gwtimer.Sleep(ctx, wait) {
+			return ticket{}, eris.Wrapf(ctx.Err(), "store %s", kind)
 		}
 	}
 }
--- a/internal/connection/gwstore/backoff.go
+++ b/internal/connection/gwstore/backoff.go
@@ -1,7 +1,6 @@
 package gwstore
 
 import (
-	"context"
 	"math/rand/v2"
 	"time"
 )
@@ -31,15 +30,3 @@
 	}
 	return rand.N(bound)
 }
-
-// sleep waits for d, or returns the error of ctx when it ends first.
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/connection/gwstore/read.go
+++ b/internal/connection/gwstore/read.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	gw "github.com/geraniumworks/geraniumworks"
+	"github.com/geraniumworks/geraniumworks/internal/process/gwtimer"
 )
 
 // errUnchanged reports that a watch call ended without a newer version.
@@ -81,8 +82,8 @@
 	rounds := max(s.options.readRounds, 1)
 	for round := 0; ; round++ {
 		if round > 0 {
-			if err := sleep(ctx, s.options.backoff.draw(round)); err != nil {
-				return eris.Wrapf(err, "store %s", req.kind)
+			if !gwtimer.Sleep(ctx, s.options.backoff.draw(round)) {
+				return eris.Wrapf(ctx.Err(), "store %s", req.kind)
 			}
 		}
 		err := s.readRound(ctx, req, decode)
--- a/internal/process/gwhost/source.go
+++ b/internal/process/gwhost/source.go
@@ -6,6 +6,7 @@
 	"time"
 
 	gw "github.com/geraniumworks/geraniumworks"
+	"github.com/geraniumworks/geraniumworks/internal/process/gwtimer"
 	"github.com/geraniumworks/geraniumworks/internal/version/gwpublish"
 	"github.com/geraniumworks/geraniumworks/internal/version/gwtable"
 )
@@ -56,12 +57,7 @@
 
 // waitUnpublished delays err, since a watch of a key that does not exist returns at once.
 func waitUnpublished(ctx context.Context, err error) error {
-	timer := time.NewTimer(unpublishedDelay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	gwtimer.Sleep(ctx, unpublishedDelay)
 	return err
 }
 
--- a/internal/process/gwhost/stop.go
+++ b/internal/process/gwhost/stop.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/oklog/run"
+
+	"github.com/geraniumworks/geraniumworks/internal/process/gwtimer"
 )
 
 // leasePollInterval is the time between looks at the leases during a planned stop.
@@ -36,7 +38,7 @@
 	}
 	handedOver := make(chan error, 1)
 	go func() { handedOver <- h.control.Stop(ctx) }()
-	pause(ctx, time.Duration(h.settings.DrainMilliseconds)*time.Millisecond)
+	gwtimer.Sleep(ctx, time.Duration(h.settings.DrainMilliseconds)*time.Millisecond)
 	h.entry.Stop()
 	if err := h.entry.Wait(ctx); err != nil {
 		h.log.Warn("requests of callers were cut off at the end of a planned stop", "error", err)
@@ -58,16 +60,6 @@
 			h.log.Warn("servers were not given to other dispatchers in time", "servers", h.dispatcher.Leased())
 			return
 		}
-		pause(ctx, leasePollInterval)
-	}
-}
-
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+		gwtimer.Sleep(ctx, leasePollInterval)
 	}
 }
--- a/internal/request/gwentry/attempt.go
+++ b/internal/request/gwentry/attempt.go
@@ -8,6 +8,7 @@
 	"time"
 
 	gw "github.com/geraniumworks/geraniumworks"
+	"github.com/geraniumworks/geraniumworks/internal/process/gwtimer"
 	"github.com/geraniumworks/geraniumworks/internal/request/gwforward"
 	"github.com/geraniumworks/geraniumworks/internal/request/gwretry"
 )
@@ -248,15 +249,5 @@
 
 // waitUntil waits until t and reports false when ctx ends first.
 func waitUntil(ctx context.Context, t time.Time) bool {
-	if t.IsZero() {
-		return true
-	}
-	timer := time.NewTimer(time.Until(t))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return t.IsZero() || gwtimer.Sleep(ctx, time.Until(t))
 }
--- a/internal/standin/gwfakes/hostlist_calls.go
+++ b/internal/standin/gwfakes/hostlist_calls.go
@@ -9,6 +9,7 @@
 	"time"
 
 	gw "github.com/geraniumworks/geraniumworks"
+	"github.com/geraniumworks/geraniumworks/internal/process/gwtimer"
 )
 
 // decodeStrict refuses unknown fields, so that a misspelt field in a listing is noticed.
@@ -51,7 +52,7 @@
 		refuse(w, http.StatusServiceUnavailable, "unavailable", "the host list is down")
 		return
 	}
-	if err := wait(r.Context(), slow); err != nil {
+	if !gwtimer.Sleep(r.Context(), slow) {
 		return
 	}
 	listing, err := h.Listing()
--- a/internal/standin/gwfakes/serve.go
+++ b/internal/standin/gwfakes/serve.go
@@ -75,21 +75,6 @@
 	}
 }
 
-// wait waits for d, or returns the error of ctx when it ends first.
-func wait(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // milliseconds converts a length of time on the wire.
 func milliseconds(n int64) time.Duration {
 	return time.Duration(n) * time.Millisecond
--- a/internal/standin/gwfakes/server_work.go
+++ b/internal/standin/gwfakes/server_work.go
@@ -14,6 +14,7 @@
 
 	gw "github.com/geraniumworks/geraniumworks"
 	"github.com/geraniumworks/geraniumworks/internal/connection/gwserver"
+	"github.com/geraniumworks/geraniumworks/internal/process/gwtimer"
 )
 
 // register is the value under a key, the path of its requests.
@@ -140,7 +141,7 @@
 		d, timedOut = left, true
 	}
 	// A caller that has gone does not stop the request, as in a server that does not look at its connection.
-	_ = wait(context.WithoutCancel(c.request.Context()), d)
+	gwtimer.Sleep(context.WithoutCancel(c.request.Context()), d)
 	s.awaitThaw()
 	if timedOut {
 		return errTimedOut
--- a/internal/standin/gwfakes/store.go
+++ b/internal/standin/gwfakes/store.go
@@ -10,6 +10,7 @@
 	"golang.org/x/time/rate"
 
 	gw "github.com/geraniumworks/geraniumworks"
+	"github.com/geraniumworks/geraniumworks/internal/process/gwtimer"
 )
 
 // Store is the stand-in of the platform's store: a StoreMap behind HTTP with JSON, with a limit on calls and
@@ -108,7 +109,7 @@
 		if r.Method != http.MethodGet {
 			ctx = context.WithoutCancel(ctx)
 		}
-		if err := wait(ctx, faults.slow); err != nil {
+		if !gwtimer.Sleep(ctx, faults.slow) {
 			return
 		}
 		next(w, r)
--- a/internal/version/gwfeed/feed.go
+++ b/internal/version/gwfeed/feed.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	gw "github.com/geraniumworks/geraniumworks"
+	"github.com/geraniumworks/geraniumworks/internal/process/gwtimer"
 )
 
 const (
@@ -165,7 +166,7 @@
 	for ctx.Err() == nil {
 		relays := pullOrder(withoutHost(Relays(f.hosts(), f.self.DataCentre), f.self.Name), f.self.Name)
 		if slot >= len(relays) {
-			sleep(ctx, syncInterval)
+			gwtimer.Sleep(ctx, syncInterval)
 			continue
 		}
 		wait := pullWait
@@ -173,7 +174,7 @@
 			wait = 0
 		}
 		if err := f.pull(ctx, relays[slot], wait); err != nil {
-			sleep(ctx, delay.next())
+			gwtimer.Sleep(ctx, delay.next())
 			continue
 		}
 		delay = newBackoff()
@@ -181,7 +182,7 @@
 			f.firstAnswer()
 		} else if wait == 0 {
 			// What the first relay does not pass on, although it answers, is late by this time at most.
-			sleep(ctx, jitter(pullWait))
+			gwtimer.Sleep(ctx, jitter(pullWait))
 		}
 	}
 	return nil
@@ -234,11 +235,11 @@
 	delay := newBackoff()
 	for ctx.Err() == nil {
 		if !f.isRelay() {
-			sleep(ctx, syncInterval)
+			gwtimer.Sleep(ctx, syncInterval)
 			continue
 		}
 		if err := f.read(ctx); err != nil {
-			sleep(ctx, delay.next())
+			gwtimer.Sleep(ctx, delay.next())
 			continue
 		}
 		delay = newBackoff()
@@ -292,7 +293,7 @@
 		if f.askRelays(ctx) >= neededAnswers {
 			f.trust()
 		}
-		sleep(ctx, delay.next())
+		gwtimer.Sleep(ctx, delay.next())
 	}
 	return nil
 }
@@ -338,7 +339,7 @@
 // compare exchanges versions with a random other relay while this host is a relay, to repair lost offers.
 func (f *Feed) compare(ctx context.Context) error {
 	for ctx.Err() == nil {
-		sleep(ctx, jitter(syncInterval))
+		gwtimer.Sleep(ctx, jitter(syncInterval))
 		if !f.isRelay() {
 			continue
 		}
@@ -350,16 +351,6 @@
 	return nil
 }
 
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // jitter returns a random time between half of d and d.
 func jitter(d time.Duration) time.Duration {
 	return d/2 + rand.N(d/2)
--- a/internal/version/gwpublish/publisher.go
+++ b/internal/version/gwpublish/publisher.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	gw "github.com/geraniumworks/geraniumworks"
+	"github.com/geraniumworks/geraniumworks/internal/process/gwtimer"
 )
 
 const (
@@ -316,14 +317,10 @@
 		return ctx.Err()
 	}
 	d := min(p.backoff<<min(try-1, 10), maxBackoff)
-	timer := time.NewTimer(d/2 + rand.N(d/2+1))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !gwtimer.Sleep(ctx, d/2+rand.N(d/2+1)) {
 		return ctx.Err()
 	}
+	return nil
 }
 
 func clip(text string) string {
