spread: cut several blocks a view, count loads where keys are now

Busy keys are neighbours, and a range gave away one block in each view of 300 ms; what a server had given away still counted as its load for the 2 s of the window, less an estimate that assumed a full window. Change: what is left of a cut range can be cut again in the same view. The requests of the window count at the server that has their keys now. The bound of moves a view is 24. Test: scene 'busy keys are neighbours when the traffic begins': most utilised server after four views 4.4 before, below 1.0 now.

--- a/internal/version/gwspread/draft.go
+++ b/internal/version/gwspread/draft.go
@@ -28,8 +28,10 @@
 	gw.Range
 	owner gw.ServerName
 	load  float64
-	// touched is set when the plan already changes the range.
+	// touched is set when the plan moves the range or joins it to another, cut when it has split blocks off. What is left
+	// of a range that was cut can be cut again or moved, but not joined.
 	touched bool
+	cut     bool
 }
 
 // draft is a plan in progress.
@@ -51,7 +53,11 @@
 	d := &draft{p: p, view: v, index: make(map[gw.ServerName]int, len(v.Servers)), unowned: true}
 	for _, sv := range v.Servers {
 		d.index[sv.Name] = len(d.servers)
-		d.servers = append(d.servers, server{ServerView: sv, own: sv.DataCentre == v.DataCentre, load: sv.Load})
+		s := server{ServerView: sv, own: sv.DataCentre == v.DataCentre}
+		if !s.own {
+			s.load = sv.Load
+		}
+		d.servers = append(d.servers, s)
 	}
 	for i, s := range d.servers {
 		if s.State == gw.ServerUp {
@@ -78,7 +84,13 @@
 		d.ranges = append(d.ranges, keyRange{Range: span, owner: r.Owner, load: d.loadOf(span)})
 		d.unowned = d.unowned && r.Owner == ""
 		if k, ok := d.index[r.Owner]; ok {
-			d.servers[k].ranges = append(d.servers[k].ranges, i)
+			s := &d.servers[k]
+			s.ranges = append(s.ranges, i)
+			if s.own {
+				// The requests of the window count where their keys are now: reported per server, the load of a key would
+				// stay with its former owner for as long as the window.
+				s.load += d.ranges[i].load
+			}
 		}
 	}
 }
@@ -99,7 +111,8 @@
 	return load
 }
 
-// readShifts corrects the reported loads by the moves that they do not show yet.
+// readShifts corrects the loads by the moves that they do not show yet: those that are not committed, and at servers of
+// other cells, which report the requests of a window, those of the length of the window.
 func (d *draft) readShifts() {
 	now := d.view.Now
 	d.p.shifts = slices.DeleteFunc(d.p.shifts, func(s shift) bool {
@@ -113,12 +126,12 @@
 		if s.movedAt.IsZero() && d.view.Assignment.At(s.first).Owner == s.to {
 			s.movedAt = now
 		}
-		hidden := s.load
-		if !s.movedAt.IsZero() {
-			hidden *= 1 - now.Sub(s.movedAt).Seconds()/d.p.s.settle.Seconds()
+		if s.movedAt.IsZero() {
+			d.addLoad(s.from, -s.load)
+			d.addLoad(s.to, s.load)
+		} else if k, ok := d.index[s.to]; ok && !d.servers[k].own {
+			d.servers[k].load += s.load * (1 - now.Sub(s.movedAt).Seconds()/d.p.s.settle.Seconds())
 		}
-		d.addLoad(s.from, -hidden)
-		d.addLoad(s.to, hidden)
 	}
 }
 
--- a/internal/version/gwspread/options.go
+++ b/internal/version/gwspread/options.go
@@ -31,7 +31,7 @@
 		fillBelow: 0.3,
 		// Controllers of other cells see the same idle servers, so that each gives a part at a time.
 		giveShare:    0.7,
-		movesPerView: 8,
+		movesPerView: 24,
 	}
 }
 
--- a/internal/version/gwspread/policy_test.go
+++ b/internal/version/gwspread/policy_test.go
@@ -1,6 +1,7 @@
 package gwspread_test
 
 import (
+	"cmp"
 	"encoding/json"
 	"os"
 	"slices"
@@ -34,7 +35,9 @@
 		To   uint64  `json:"to"`
 		Rate float64 `json:"rate"`
 	} `json:"hot"`
-	// MostUtilised bounds the utilisation of every server after the plans of a few seconds, Moves the moves of all plans.
+	// Views is how many views the cells place, 20 by default, which are 6 s.
+	Views int `json:"views"`
+	// MostUtilised bounds the utilisation of every server after the plans, MostMoves the moves of all plans.
 	MostUtilised float64 `json:"most-utilised"`
 	MostMoves    *int    `json:"most-moves"`
 	// Empty are servers that must own nothing afterwards, Busy servers that must have load.
@@ -150,11 +153,16 @@
 	require.NoError(t, w.assignment.Validate())
 }
 
-// run lets the cells of both data centres place for six seconds.
+// defaultViews are the views of six seconds.
+const defaultViews = 20
+
+// run lets the cells of both data centres place.
 func (w *world) run(t require.TestingT) {
 	policies := map[gw.DataCentreName]*gwspread.Policy{"west": gwspread.New(), "east": gwspread.New()}
-	for range 20 {
-		w.history = append(w.history, w.loads())
+	for range cmp.Or(w.scene.Views, defaultViews) {
+		if w.assignment.Ranges[0].Owner != "" {
+			w.history = append(w.history, w.loads())
+		}
 		if len(w.history) > steps {
 			w.history = w.history[1:]
 		}
@@ -166,7 +174,8 @@
 }
 
 // Guards against a block of busy neighbours that stays with one server, against ranges that stay with servers that
-// leave or are lost, against servers that join and get nothing, and against moves for the noise of a count.
+// leave or are lost, against servers that join and get nothing, against moves for the noise of a count, and against busy
+// neighbours that are spread one block a view: on the first two seconds of a day 20% of the lookups were refused.
 func TestScenes(t *testing.T) {
 	data, err := os.ReadFile("testdata/scenes.json")
 	require.NoError(t, err)
--- a/internal/version/gwspread/relieve.go
+++ b/internal/version/gwspread/relieve.go
@@ -92,7 +92,7 @@
 	})
 	for _, i := range order {
 		r := &d.ranges[i]
-		if r.touched || r.load < minMoveRate || d.pending(r.First) || d.settling(r.Range) {
+		if r.touched || r.load < minMoveRate || d.settling(r.Range) {
 			continue
 		}
 		if r.load <= wanted {
@@ -121,14 +121,14 @@
 	case headLoad < minMoveRate && tailLoad < minMoveRate:
 		return 0
 	case tailLoad < minMoveRate || headLoad >= minMoveRate && head-r.First <= r.Last-tail:
-		r.touched = true
 		d.plan.Splits = append(d.plan.Splits, head)
 		d.move(r.First, r.owner, to, headLoad)
+		r.First, r.load, r.cut = head, r.load-headLoad, true
 		return headLoad
 	default:
-		r.touched = true
 		d.plan.Splits = append(d.plan.Splits, tail)
 		d.move(tail, r.owner, to, tailLoad)
+		r.Last, r.load, r.cut = tail-1, r.load-tailLoad, true
 		return tailLoad
 	}
 }
@@ -177,7 +177,7 @@
 		a, b := &d.ranges[i-1], &d.ranges[i]
 		k, known := d.index[a.owner]
 		if a.owner != b.owner || !known || !d.servers[k].own || d.servers[k].State != gw.ServerUp ||
-			a.touched || b.touched || d.pending(a.First) || d.pending(b.First) || a.load+b.load > 2*minMoveRate {
+			a.touched || b.touched || a.cut || b.cut || d.pending(a.First) || d.pending(b.First) || a.load+b.load > 2*minMoveRate {
 			continue
 		}
 		a.touched, b.touched = true, true
