store, control: a refused commit tells the record; records are compressed

Ruled out: fewer commits; several cells write one record, and each of their moves has to be committed before the grant. Change: gw.ConflictError carries the value that the store answers with a 412, and the lease core takes it as a read. A record above 1 KB is stored compressed; records written before are read as they are. The simulated store answers half of the conflicts with its record.

split: send the parts of a split route where their servers are near

Change: gwsplit keeps the weights by a debt of each part and lets a request for a key owned in the own region go there first.

--- a/errors.go
+++ b/errors.go
@@ -30,3 +30,19 @@
 	// ErrBadRange reports an invalid range or an assignment whose ranges do not cover the key space.
 	ErrBadRange = errors.New("bad range")
 )
+
+// ConflictError is an ErrConflict with the value that the store has instead.
+type ConflictError struct {
+	// Current is the value under the key when the store refused the write.
+	Current StoredValue
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	return ErrConflict.Error() + " at " + e.Current.Key
+}
+
+// Unwrap returns ErrConflict.
+func (e *ConflictError) Unwrap() error {
+	return ErrConflict
+}
--- a/internal/process/gwcontrol/actions.go
+++ b/internal/process/gwcontrol/actions.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"log/slog"
 
@@ -121,31 +120,43 @@
 		in.Err = err
 		return in
 	}
-	if err := json.Unmarshal(value.Data, &in.Assignment); err != nil {
-		in.Err = eris.Wrapf(err, "decode %s", value.Key)
-		return in
-	}
-	if err := in.Assignment.Validate(); err != nil {
-		in.Err = eris.Wrapf(err, "read %s", value.Key)
+	if in.Assignment, err = l.decodeRecord(value); err != nil {
+		in.Err = err
 		return in
 	}
-	in.Found = true
-	in.Version = value.Version
-	l.publishAssignment(gwtable.Record{StoreVersion: value.Version, Assignment: in.Assignment})
+	in.Found, in.Version = true, value.Version
 	return in
 }
 
+// decodeRecord reads a record and makes it known to all hosts.
+func (l *Loop) decodeRecord(value gw.StoredValue) (gw.Assignment, error) {
+	a, err := gw.DecodeAssignment(value.Data)
+	if err != nil {
+		return a, eris.Wrapf(err, "read %s", value.Key)
+	}
+	l.publishAssignment(gwtable.Record{StoreVersion: value.Version, Assignment: a})
+	return a, nil
+}
+
 func (l *Loop) commitAssignment(ctx context.Context, out gwlease.CommitAssignment) gwlease.CommitDone {
 	done := gwlease.CommitDone{ID: out.ID}
-	data, err := json.Marshal(out.Next)
+	data, err := gw.EncodeAssignment(out.Next)
 	if err != nil {
-		done.Err = eris.Wrap(err, "encode assignment")
+		done.Err = err
 		return done
 	}
 	done.Version, done.Err = l.store.CompareAndSwap(ctx, AssignmentKey(out.Next.KeySpace), out.Expected, data)
 	if done.Err == nil {
 		l.publishAssignment(gwtable.Record{StoreVersion: done.Version, Assignment: out.Next})
 	}
+	var conflict *gw.ConflictError
+	if errors.As(done.Err, &conflict) {
+		if done.Current, err = l.decodeRecord(conflict.Current); err != nil {
+			l.log.Warn("record in the answer to a refused commit cannot be used, it is read", "error", err)
+			return done
+		}
+		done.Found, done.Version = true, conflict.Current.Version
+	}
 	return done
 }
 
--- a/internal/process/gwlease/commit.go
+++ b/internal/process/gwlease/commit.go
@@ -79,6 +79,13 @@
 	case errors.Is(in.Err, gw.ErrConflict):
 		c.storeAnswered()
 		c.conflict(current)
+		if in.Found {
+			// The answer is a read of the record, made after the request was sent.
+			c.watch.readWanted = false
+			c.adopt(in.Version, in.Current, r)
+			c.confirm(r)
+			c.writeReadBack(r.id)
+		}
 	case errors.Is(in.Err, gw.ErrValueTooLarge):
 		c.tooLarge(current)
 	default:
--- a/internal/process/gwlease/sim_test.go
+++ b/internal/process/gwlease/sim_test.go
@@ -497,6 +497,10 @@
 			in.Err = gw.ErrStoreUnavailable
 		case o.Expected != m.version:
 			in.Err = gw.ErrConflict
+			if in.Found = o.ID%2 == 0; in.Found {
+				// Some answers tell the record that the store has.
+				in.Version, in.Current = m.version, m.stored
+			}
 		default:
 			m.apply(o.Next)
 		}
--- a/internal/request/gwentry/call.go
+++ b/internal/request/gwentry/call.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strings"
@@ -12,6 +11,7 @@
 	gw "github.com/geraniumworks/geraniumworks"
 	"github.com/geraniumworks/geraniumworks/internal/request/gwforward"
 	"github.com/geraniumworks/geraniumworks/internal/request/gwretry"
+	"github.com/geraniumworks/geraniumworks/internal/request/gwsplit"
 )
 
 // call is one request of a caller.
@@ -62,9 +62,6 @@
 	if c.route, ok = x.route(c.in.Host, path); !ok {
 		return gw.Refuse(gw.ReasonNoRoute, "no route matches host and path")
 	}
-	if c.service, ok = x.services[c.serviceName()]; !ok {
-		return gw.Refuse(gw.ReasonNoRoute, "the route's service does not exist")
-	}
 	head, refusal := c.handler.opts.Callers.Decode(c.in.Header)
 	if refusal != nil {
 		return refusal
@@ -73,6 +70,9 @@
 	if c.tenant, ok = x.tenants[head.Tenant]; !ok {
 		return gw.Refuse(gw.ReasonUnknownTenant, "the tenant is missing or not known")
 	}
+	if c.service, ok = x.services[c.serviceName(x)]; !ok {
+		return gw.Refuse(gw.ReasonNoRoute, "the route's service does not exist")
+	}
 	if homes := c.tenant.HomeRegions; len(homes) > 0 && !slices.Contains(homes, c.handler.opts.Region) {
 		return c.wrongRegion()
 	}
@@ -125,22 +125,26 @@
 	return n
 }
 
-// serviceName returns the service of the route. A route that is split draws one by weight.
-func (c *call) serviceName() gw.ServiceName {
-	total := 0
-	for _, part := range c.route.Split {
-		total += part.Weight
-	}
-	if total <= 0 {
-		return c.route.Service
-	}
-	n := rand.IntN(total)
-	for _, part := range c.route.Split {
-		if n -= part.Weight; n < 0 {
-			return part.Service
+// serviceName returns the service of the route, for a route that is split the one that suits the request within the
+// weights.
+func (c *call) serviceName(x *index) gw.ServiceName {
+	return c.handler.splitter.Choose(c.route, func(name gw.ServiceName) gwsplit.Preference {
+		service := x.services[name]
+		if !service.DividedByKey {
+			return gwsplit.Indifferent
 		}
-	}
-	return c.route.Service
+		key, refusal := keyOf(c.route, c.in)
+		if refusal != nil {
+			return gwsplit.Far
+		}
+		target, refusal := c.handler.opts.Router.Route(c.in.Context(), gw.RouteRequest{
+			Service: name, Tenant: c.tenant.Name, HomeRegions: c.route.HomeRegions, Key: key, NoWait: true,
+		})
+		if refusal != nil || target.RemoteRegion {
+			return gwsplit.Far
+		}
+		return gwsplit.Near
+	})
 }
 
 // setDeadline sets the deadline from the limits of service and route and from the caller's, whichever is shortest.
--- a/internal/request/gwentry/handler.go
+++ b/internal/request/gwentry/handler.go
@@ -15,6 +15,7 @@
 	gw "github.com/geraniumworks/geraniumworks"
 	"github.com/geraniumworks/geraniumworks/internal/request/gwforward"
 	"github.com/geraniumworks/geraniumworks/internal/request/gwretry"
+	"github.com/geraniumworks/geraniumworks/internal/request/gwsplit"
 )
 
 // Handler takes requests of callers.
@@ -25,6 +26,7 @@
 	index atomic.Pointer[index]
 	// patience tells how long requests have been under way before they came here.
 	patience patience
+	splitter *gwsplit.Splitter
 	results  *prometheus.CounterVec
 }
 
@@ -44,8 +46,9 @@
 		o.Policy = gwretry.New()
 	}
 	h := &Handler{
-		opts: o,
-		echo: echo.New(),
+		opts:     o,
+		echo:     echo.New(),
+		splitter: gwsplit.New(),
 		results: promauto.With(o.Registerer).NewCounterVec(prometheus.CounterOpts{
 			Namespace: "geraniumworks", Subsystem: "entry", Name: "requests_total",
 			Help: "Requests of callers, by outcome and by reason when refused.",
--- a/item.go
+++ b/item.go
@@ -51,18 +51,28 @@
 		item.Data = data
 		return item, nil
 	}
+	item.Packed, err = pack(data)
+	return item, eris.Wrapf(err, "pack item %s", topic)
+}
+
+// pack compresses data.
+func pack(data []byte) ([]byte, error) {
 	var buf bytes.Buffer
 	w := packers.Get().(*flate.Writer)
 	defer packers.Put(w)
 	w.Reset(&buf)
 	if _, err := w.Write(data); err != nil {
-		return Item{}, eris.Wrapf(err, "pack item %s", topic)
+		return nil, err
 	}
 	if err := w.Close(); err != nil {
-		return Item{}, eris.Wrapf(err, "pack item %s", topic)
+		return nil, err
 	}
-	item.Packed = buf.Bytes()
-	return item, nil
+	return buf.Bytes(), nil
+}
+
+// unpack returns what was packed.
+func unpack(packed []byte) ([]byte, error) {
+	return io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), unpackMost))
 }
 
 // Decode reads the value of the item.
@@ -70,7 +80,7 @@
 	data := []byte(i.Data)
 	if len(i.Packed) > 0 {
 		var err error
-		if data, err = io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(i.Packed)), unpackMost)); err != nil {
+		if data, err = unpack(i.Packed); err != nil {
 			return eris.Wrapf(err, "unpack item %s", i.Topic)
 		}
 	}
--- a/store.go
+++ b/store.go
@@ -25,7 +25,8 @@
 	// List returns all values whose key starts with prefix, ordered by key.
 	List(ctx context.Context, prefix string) ([]StoredValue, error)
 	// CompareAndSwap writes data under key if the key's version is still expected (zero: the key must not
-	// exist) and returns the new version. It fails with ErrConflict when the version differs, with
+	// exist) and returns the new version. It fails with ErrConflict when the version differs, as a *ConflictError when
+	// the store tells the value that it has, with
 	// ErrValueTooLarge, and with ErrWriteUnknown when the answer was lost: the write may then be applied at
 	// any later time, and only while the version is still expected.
 	CompareAndSwap(ctx context.Context, key string, expected StoreVersion, data []byte) (StoreVersion, error)
