--- a/hosts.go
+++ b/hosts.go
@@ -1,6 +1,9 @@
 package geraniumworks
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // EntryState is the state that the host list gives for an entry.
 type EntryState string
@@ -49,6 +52,9 @@
 	Revision uint64        `json:"revision,omitempty"`
 	Hosts    []HostEntry   `json:"hosts"`
 	Servers  []ServerEntry `json:"servers"`
+	// ChangedAfter is the last time at which the reader knew the servers before to be current, zero when it does not
+	// tell. What differs from the reading before may have changed since then.
+	ChangedAfter time.Time `json:"-"`
 }
 
 // HostList is the platform's lagging list of live and leaving hosts.
--- a/internal/process/gwhost/barred.go
+++ b/internal/process/gwhost/barred.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// leavingGrace is how long after this host has seen a server leave it still sends what the server's controller lets
-	// it send. Leaving servers serve for 2.5 s at least.
+	// leavingGrace is how long after a server may have begun to leave this host still sends what the server's controller
+	// lets it send. Leaving servers serve for 2.5 s at least.
 	leavingGrace = 1900 * time.Millisecond
 	// outGrace is the same for servers that operators took out, which must get nothing after 5 s.
 	outGrace = 4 * time.Second
--- a/internal/process/gwmembers/members.go
+++ b/internal/process/gwmembers/members.go
@@ -21,6 +21,9 @@
 	pollTimeout = time.Second
 	// forgetLeaving is how long a server that has left is remembered. No lease names it for so long.
 	forgetLeaving = time.Minute
+	// oldestLeaving bounds how far back the leaving of a server is dated after an outage. It is longer than any server that
+	// leaves is still sent requests, and shorter than forgetLeaving.
+	oldestLeaving = 10 * time.Second
 	// repeatAfter is the number of equal listings after which a listing gets a new number nevertheless. A controller
 	// forgets a server that is no longer listed only when it is shown a listing, and may do so only once nobody
 	// sends to the server, which can be later than the listing that dropped it.
@@ -41,7 +44,7 @@
 	number  uint64
 	equal   int
 	failing bool
-	// leaving is when each server was first seen leaving, or no longer listed.
+	// leaving is since when each server may have been leaving or no longer listed, as far as this host knows.
 	leaving map[gw.ServerName]time.Time
 }
 
@@ -154,7 +157,7 @@
 		return newest
 	}
 	m.equal = 0
-	m.noteLeaving(m.listing.Servers, listing.Servers)
+	m.noteLeaving(m.listing.Servers, listing.Servers, listing.ChangedAfter)
 	m.listing = listing
 	m.number++
 	return newest
@@ -170,30 +173,37 @@
 	})
 }
 
-// noteLeaving remembers since when servers are leaving or gone. The caller holds mu.
-func (m *Members) noteLeaving(before, after []gw.ServerEntry) {
+// noteLeaving remembers since when servers are leaving or gone: since may be zero, which means now. The caller holds mu.
+func (m *Members) noteLeaving(before, after []gw.ServerEntry, since time.Time) {
 	now := time.Now()
+	if since.IsZero() {
+		since = now
+	}
+	if oldest := now.Add(-oldestLeaving); since.Before(oldest) {
+		since = oldest
+	}
 	stays := make(map[gw.ServerName]bool, len(after))
 	for _, s := range after {
 		if stays[s.Name] = s.State == gw.EntryLive; stays[s.Name] {
 			delete(m.leaving, s.Name)
 		} else if _, ok := m.leaving[s.Name]; !ok {
-			m.leaving[s.Name] = now
+			m.leaving[s.Name] = since
 		}
 	}
 	for _, s := range before {
 		if _, ok := m.leaving[s.Name]; !ok && !stays[s.Name] {
-			m.leaving[s.Name] = now
+			m.leaving[s.Name] = since
 		}
 	}
-	for name, since := range m.leaving {
-		if now.Sub(since) > forgetLeaving {
+	for name, at := range m.leaving {
+		if now.Sub(at) > forgetLeaving {
 			delete(m.leaving, name)
 		}
 	}
 }
 
-// LeavingSince returns since when this host knows that a server is leaving or gone, and false when it does not.
+// LeavingSince returns since when a server may have been leaving or gone, and false when this host does not know that it
+// is.
 func (m *Members) LeavingSince(name gw.ServerName) (time.Time, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -209,7 +219,7 @@
 		return
 	}
 	servers := m.withoutGone(listing.Servers)
-	m.noteLeaving(m.listing.Servers, servers)
+	m.noteLeaving(m.listing.Servers, servers, time.Time{})
 	m.listing.Servers, m.listing.Revision = servers, listing.Revision
 	m.number++
 }
--- a/internal/process/gwmembers/members_test.go
+++ b/internal/process/gwmembers/members_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -69,3 +70,24 @@
 	_, leaving = m.LeavingSince("s1")
 	require.True(t, leaving)
 }
+
+// Guards against a server that is sent requests for too long after it began to leave, since its leaving is counted from
+// the reading that showed it instead of from the reading before: the pause between readings is longer than what is left.
+func TestLeavingCountsFromTheReadingBefore(t *testing.T) {
+	live := []gw.ServerEntry{{Name: "s1", State: gw.EntryLive}, {Name: "s2", State: gw.EntryLive}}
+	list := &fixedList{listing: gw.Listing{Revision: 1, Servers: live}}
+	m := New(list)
+	m.read(context.Background())
+	before := time.Now().Add(-1400 * time.Millisecond)
+	list.listing = gw.Listing{Revision: 2, Servers: live[1:], ChangedAfter: before}
+	m.read(context.Background())
+	since, ok := m.LeavingSince("s1")
+	require.True(t, ok)
+	require.Equal(t, before, since)
+
+	list.listing = gw.Listing{Revision: 3, ChangedAfter: time.Now().Add(-time.Hour)}
+	m.read(context.Background())
+	since, ok = m.LeavingSince("s2")
+	require.True(t, ok, "a long outage must not look like a server that left long ago and is forgotten")
+	require.WithinDuration(t, time.Now().Add(-oldestLeaving), since, time.Second)
+}
