--- a/hosts.go
+++ b/hosts.go
@@ -63,4 +63,6 @@
 	Hosts(ctx context.Context) (Listing, error)
 	// Changed returns a channel that receives when a newer listing is known to exist, nil when the list does not tell.
 	Changed() <-chan struct{}
+	// CurrentAt returns the last time at which this process knew the list to be current, zero when it does not tell.
+	CurrentAt() time.Time
 }
--- a/internal/connection/gwhostlist/list.go
+++ b/internal/connection/gwhostlist/list.go
@@ -152,3 +152,8 @@
 func (l *List) Changed() <-chan struct{} {
 	return nil
 }
+
+// CurrentAt returns zero: the list lags behind by an unknown time.
+func (l *List) CurrentAt() time.Time {
+	return time.Time{}
+}
--- a/internal/process/gwmembers/members.go
+++ b/internal/process/gwmembers/members.go
@@ -219,7 +219,8 @@
 		return
 	}
 	servers := m.withoutGone(listing.Servers)
-	m.noteLeaving(m.listing.Servers, servers, time.Time{})
+	// The other host may have read it long before, but not before this one knew the servers to be live.
+	m.noteLeaving(m.listing.Servers, servers, m.list.CurrentAt())
 	m.listing.Servers, m.listing.Revision = servers, listing.Revision
 	m.number++
 }
--- a/internal/process/gwmembers/members_test.go
+++ b/internal/process/gwmembers/members_test.go
@@ -11,12 +11,19 @@
 )
 
 // fixedList is a host list that shows one listing.
-type fixedList struct{ listing gw.Listing }
+type fixedList struct {
+	listing   gw.Listing
+	currentAt time.Time
+}
 
 func (f *fixedList) Hosts(context.Context) (gw.Listing, error) {
 	return f.listing, nil
 }
 
+func (f *fixedList) CurrentAt() time.Time {
+	return f.currentAt
+}
+
 func (f *fixedList) Changed() <-chan struct{} {
 	return nil
 }
@@ -85,7 +92,15 @@
 	require.True(t, ok)
 	require.Equal(t, before, since)
 
-	list.listing = gw.Listing{Revision: 3, ChangedAfter: time.Now().Add(-time.Hour)}
+	list.listing = gw.Listing{Revision: 3, Servers: live}
+	m.read(context.Background())
+	list.currentAt = time.Now().Add(-time.Second)
+	m.Offer(gw.Listing{Revision: 4, Servers: live[1:]})
+	since, ok = m.LeavingSince("s1")
+	require.True(t, ok)
+	require.Equal(t, list.currentAt, since, "the other host may have read it long before (DRAIN on snr-poort, scale-2)")
+
+	list.listing = gw.Listing{Revision: 5, ChangedAfter: time.Now().Add(-time.Hour)}
 	m.read(context.Background())
 	since, ok = m.LeavingSince("s2")
 	require.True(t, ok, "a long outage must not look like a server that left long ago and is forgotten")
