feed: a silent relay holds up nobody; new hosts ask their relays at once

A host that has just started knew no relay for a moment and looked again after 2 s. Offers went out in rounds that waited for the slowest relay, up to 1 s. Ruled out: the takeover (all controllers by 33.0 s, start at 32.6 s) and the reading of the store (0.03 s). Change: the list of hosts is looked at every 100 ms; offers to each relay run on their own, and a failed one waits for the next tick. Tests: TestSilentRelayHoldsUpNobody and TestHostThatLearnsOfItsRelaysAsksThem fail without the change.

--- /dev/null
+++ b/internal/version/gwfeed/delay_test.go
@@ -0,0 +1,104 @@
+package gwfeed_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	gw "github.com/geraniumworks/geraniumworks"
+	"github.com/geraniumworks/geraniumworks/internal/version/gwfeed"
+)
+
+// silentNetwork is a network in which one address never answers an offer.
+type silentNetwork struct {
+	*network
+	silent string
+}
+
+func (n *silentNetwork) Offer(ctx context.Context, address string, req gw.OfferRequest) (gw.OfferReply, error) {
+	if address == n.silent {
+		<-ctx.Done()
+		return gw.OfferReply{}, ctx.Err()
+	}
+	return n.network.Offer(ctx, address, req)
+}
+
+// runFeed runs a feed until the end of the test.
+func runFeed(t *testing.T, f *gwfeed.Feed) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- f.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, <-ended)
+	})
+}
+
+// Guards against a relay without power that holds up the offers to all others for a second each: owners of keys were
+// known a second late wherever a host was cut off.
+func TestSilentRelayHoldsUpNobody(t *testing.T) {
+	hosts := testHosts()
+	hub := gwfeed.NewHub(func(gw.Item) error { return nil })
+	relays := gwfeed.Relays(hosts, hosts[0].DataCentre)
+	self := hosts[0]
+	for _, h := range hosts {
+		if h.Name != relays[0].Name && h.Name != relays[1].Name {
+			self = h
+		}
+	}
+	n := &silentNetwork{network: &network{feeds: map[string]*gwfeed.Feed{}, cut: map[string]bool{}}, silent: relays[0].PeerAddress}
+	other := gwfeed.NewHub(func(gw.Item) error { return nil })
+	n.feeds[relays[1].PeerAddress] = gwfeed.New(gwfeed.WithHub(other), gwfeed.WithPeer(n), gwfeed.WithSelf(relays[1], "r"),
+		gwfeed.WithHosts(func() []gw.HostEntry { return hosts }), gwfeed.WithSource(newSource()))
+	f := gwfeed.New(gwfeed.WithHub(hub), gwfeed.WithPeer(n), gwfeed.WithSelf(self, "self"),
+		gwfeed.WithHosts(func() []gw.HostEntry { return hosts }), gwfeed.WithSource(newSource()))
+	runFeed(t, f)
+	for sequence := range uint64(5) {
+		item, err := gw.NewItem("directory/x", gw.ItemVersion{Sequence: sequence + 1}, sequence)
+		require.NoError(t, err)
+		require.NoError(t, f.Publish(item))
+		require.Eventually(t, func() bool {
+			held, ok := other.Get("directory/x")
+			return ok && held.Version.Sequence == sequence+1
+		}, 400*time.Millisecond, time.Millisecond)
+	}
+}
+
+// Guards against a host that has just started, knows no other host for a moment, and then waits two seconds before it
+// asks a relay: after the loss of all processes its requests were refused for want of an assignment.
+func TestHostThatLearnsOfItsRelaysAsksThem(t *testing.T) {
+	hosts := testHosts()
+	relay := gwfeed.Relays(hosts, hosts[0].DataCentre)[0]
+	n := &network{feeds: map[string]*gwfeed.Feed{}, cut: map[string]bool{}}
+	held := gwfeed.NewHub(func(gw.Item) error { return nil })
+	item, err := gw.NewItem("assignment/x", gw.ItemVersion{Sequence: 1}, 1)
+	require.NoError(t, err)
+	_, err = held.Put(item)
+	require.NoError(t, err)
+	n.feeds[relay.PeerAddress] = gwfeed.New(gwfeed.WithHub(held), gwfeed.WithPeer(n), gwfeed.WithSelf(relay, "r"),
+		gwfeed.WithHosts(func() []gw.HostEntry { return hosts }), gwfeed.WithSource(newSource()))
+	self := gw.HostEntry{Name: "new", DataCentre: relay.DataCentre, Region: relay.Region, State: gw.EntryLive}
+	var known atomic.Bool
+	hub := gwfeed.NewHub(func(gw.Item) error { return nil })
+	store := newSource()
+	config, err := gw.NewItem("config", gw.ItemVersion{Sequence: 1}, 1)
+	require.NoError(t, err)
+	store.set(config, false)
+	f := gwfeed.New(gwfeed.WithHub(hub), gwfeed.WithPeer(n), gwfeed.WithSelf(self, "self"),
+		gwfeed.WithSource(store), gwfeed.WithHosts(func() []gw.HostEntry {
+			if known.Load() {
+				return []gw.HostEntry{relay, self}
+			}
+			return nil
+		}))
+	runFeed(t, f)
+	<-f.Ready()
+	// The feed has looked for relays once by then.
+	require.Never(t, func() bool { _, ok := hub.Get("assignment/x"); return ok }, 250*time.Millisecond, 10*time.Millisecond)
+	known.Store(true)
+	require.Eventually(t, func() bool { _, ok := hub.Get("assignment/x"); return ok }, time.Second, time.Millisecond)
+}
--- a/internal/version/gwfeed/feed.go
+++ b/internal/version/gwfeed/feed.go
@@ -25,6 +25,9 @@
 	callSlack = time.Second
 	// offerInterval repeats offers that a relay has not accepted yet.
 	offerInterval = 500 * time.Millisecond
+	// lookInterval is the time between looks at the list of hosts while this one has no relay, or is none. It costs nothing,
+	// and a host that has just started knows no others yet.
+	lookInterval = 100 * time.Millisecond
 	// syncInterval is the time between comparisons of versions among relays.
 	syncInterval = 2 * time.Second
 	// watchWait bounds one watch of the store.
@@ -169,7 +172,7 @@
 	for ctx.Err() == nil {
 		relays := pullOrder(withoutHost(Relays(f.hosts(), f.self.DataCentre), f.self.Name), f.self.Name)
 		if slot >= len(relays) {
-			gwtimer.Sleep(ctx, syncInterval)
+			gwtimer.Sleep(ctx, lookInterval)
 			continue
 		}
 		wait := pullWait
@@ -240,7 +243,7 @@
 	delay := newBackoff()
 	for ctx.Err() == nil {
 		if !f.isRelay() {
-			gwtimer.Sleep(ctx, syncInterval)
+			gwtimer.Sleep(ctx, lookInterval)
 			continue
 		}
 		if err := f.read(ctx); err != nil {
--- a/internal/version/gwfeed/offer.go
+++ b/internal/version/gwfeed/offer.go
@@ -5,38 +5,69 @@
 	"maps"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	gw "github.com/geraniumworks/geraniumworks"
 )
 
-// offer passes own items on to all relays and repeats what a relay has not accepted.
+// offerEnd says how the offer to a relay ended.
+type offerEnd struct {
+	relay gw.HostName
+	err   error
+}
+
+// offerProgress is the state of the offers to one relay.
+type offerProgress int
+
+const (
+	offerRunning offerProgress = iota + 1
+	// offerFailed lasts until the next tick, so that a relay that refuses at once is not asked all the time.
+	offerFailed
+)
+
+// offer passes own items on to all relays and repeats what a relay has not accepted. A relay that does not answer holds
+// up nothing but its own offers.
 func (f *Feed) offer(ctx context.Context) error {
 	timer := time.NewTicker(offerInterval)
 	defer timer.Stop()
+	ended := make(chan offerEnd)
+	progress := map[gw.HostName]offerProgress{}
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-f.wake:
+		case end := <-ended:
+			delete(progress, end.relay)
+			if end.err != nil {
+				progress[end.relay] = offerFailed
+			}
 		case <-timer.C:
+			maps.DeleteFunc(progress, func(_ gw.HostName, p offerProgress) bool { return p == offerFailed })
 		}
-		f.offerAll(ctx)
+		f.startOffers(ctx, progress, ended)
 	}
 }
 
-func (f *Feed) offerAll(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, callSlack)
-	defer cancel()
-	var group errgroup.Group
+// startOffers offers each relay what it has not accepted, unless an offer to it is under way or has just failed.
+func (f *Feed) startOffers(ctx context.Context, progress map[gw.HostName]offerProgress, ended chan<- offerEnd) {
 	for _, relay := range f.offerTargets() {
+		if progress[relay.Name] != 0 {
+			continue
+		}
 		items := f.pending(relay)
-		if len(items) > 0 {
-			group.Go(func() error { return f.offerTo(ctx, relay, items) })
+		if len(items) == 0 {
+			continue
 		}
+		progress[relay.Name] = offerRunning
+		go func() {
+			bounded, cancel := context.WithTimeout(ctx, callSlack)
+			defer cancel()
+			end := offerEnd{relay: relay.Name, err: f.offerTo(bounded, relay, items)}
+			select {
+			case ended <- end:
+			case <-ctx.Done():
+			}
+		}()
 	}
-	// A relay that did not accept is offered the items again, so the error needs no handling here.
-	_ = group.Wait()
 }
 
 // offerTargets returns the relays that are offered items: all of the own region, and of each data centre of other
