members: tell others of equal listings once a second

Cause: every heartbeat of a server gives a newer reading of the list, which relays passed on to all hosts: with 254 servers a listing of 40 KB six times a second. Change: a reading that equals the one before is passed on once a second; one that differs at once, as before. Test: TestEqualListingsAreToldOncePerSecond.

--- a/internal/process/gwmembers/members.go
+++ b/internal/process/gwmembers/members.go
@@ -24,6 +24,9 @@
 	// oldestLeaving bounds how far back the leaving of a server is dated after an outage. It is longer than any server that
 	// leaves is still sent requests, and shorter than forgetLeaving.
 	oldestLeaving = 10 * time.Second
+	// tellEqual is the time between equal listings that others are told of. Each heartbeat of a server makes a newer
+	// reading, which every host would take in.
+	tellEqual = time.Second
 	// repeatAfter is the number of equal listings after which a listing gets a new number nevertheless. A controller
 	// forgets a server that is no longer listed only when it is shown a listing, and may do so only once nobody
 	// sends to the server, which can be later than the listing that dropped it.
@@ -44,6 +47,8 @@
 	number  uint64
 	equal   int
 	failing bool
+	// toldAt is when the others were last told of a reading.
+	toldAt time.Time
 	// leaving is since when each server may have been leaving or no longer listed, as far as this host knows.
 	leaving map[gw.ServerName]time.Time
 }
@@ -125,7 +130,8 @@
 	}
 }
 
-// take applies a reading and reports whether it is the newest one known.
+// take applies a reading and reports whether others are to be told of it: it is the newest one known, and differs from
+// the one before or is the first equal one for a while.
 func (m *Members) take(listing gw.Listing, err error) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -154,9 +160,14 @@
 	newest := listing.Revision > m.listing.Revision
 	if m.number > 0 && m.equal < repeatAfter && same(listing, m.listing) {
 		m.listing.Revision = listing.Revision
-		return newest
+		if now := time.Now(); newest && now.Sub(m.toldAt) >= tellEqual {
+			m.toldAt = now
+			return true
+		}
+		return false
 	}
 	m.equal = 0
+	m.toldAt = time.Now()
 	m.noteLeaving(m.listing.Servers, listing.Servers, listing.ChangedAfter)
 	m.listing = listing
 	m.number++
--- a/internal/process/gwmembers/members_test.go
+++ b/internal/process/gwmembers/members_test.go
@@ -106,3 +106,23 @@
 	require.True(t, ok, "a long outage must not look like a server that left long ago and is forgotten")
 	require.WithinDuration(t, time.Now().Add(-oldestLeaving), since, time.Second)
 }
+
+// Guards against a host that passes on a listing at each heartbeat of a server, six times a second with 254 servers, and
+// against one that does not pass on a change at once.
+func TestEqualListingsAreToldOncePerSecond(t *testing.T) {
+	told := 0
+	list := &fixedList{listing: gw.Listing{Servers: []gw.ServerEntry{{Name: "s1", State: gw.EntryLive}}}}
+	m := New(list, WithNewer(func(gw.Listing) { told++ }))
+	for revision := range uint64(4) {
+		list.listing.Revision = revision + 1
+		m.read(context.Background())
+	}
+	require.Equal(t, 1, told)
+	list.listing = gw.Listing{Revision: 9, Servers: []gw.ServerEntry{{Name: "s1", State: gw.EntryLeaving}}}
+	m.read(context.Background())
+	require.Equal(t, 2, told)
+	m.toldAt = m.toldAt.Add(-tellEqual)
+	list.listing.Revision = 10
+	m.read(context.Background())
+	require.Equal(t, 3, told)
+}
