ctl: timeline of what hosts came to believe

geraniumctl trace shows the changes of state around one request; for an outage the operators need all of them in a span. timeline reads the same log files, leaves out lines about requests, and selects by time, cell, host or server. Trace and timeline share the reading and the table.

--- a/cmd/geraniumctl/commands.go
+++ b/cmd/geraniumctl/commands.go
@@ -87,6 +87,13 @@
 Examples:
   geraniumctl trace 9c41d07be2a35f68 /var/log/geraniumworks/*.log
   cat *.log | geraniumctl trace 9c41d07be2a35f68 --around 5s`, &traceCommand{app: a}},
+		{"timeline", "Show what hosts came to believe", `Reads log files of hosts, or standard input, and shows in ` +
+			`order what the hosts came to believe: controllers, dispatchers, sessions, configurations, and lost or ` +
+			`regained dependencies. Lines about single requests are left out.
+
+Examples:
+  geraniumctl timeline --from 03:10:00 --to 03:10:30 /var/log/geraniumworks/*.log
+  geraniumctl timeline --cell lookups/holland-a --server s1 *.log`, &timelineCommand{app: a}},
 		{"owner", "Show which server owns a key", `Asks a host for the owner of a key.
 
 Examples:
--- a/cmd/geraniumctl/trace.go
+++ b/cmd/geraniumctl/trace.go
@@ -40,36 +40,47 @@
 
 // Execute implements flags.Commander.
 func (c *traceCommand) Execute([]string) error {
-	var all []logLine
-	readers := []io.Reader{os.Stdin}
-	if len(c.Args.Files) > 0 {
-		readers = nil
-	}
-	for _, name := range c.Args.Files {
-		f, err := os.Open(name) //nolint:gosec // the operator names the file
-		if err != nil {
-			return eris.Wrap(err, "read log")
-		}
-		defer func() { _ = f.Close() }()
-		readers = append(readers, f)
-	}
-	for _, r := range readers {
-		lines, err := readLog(r)
-		if err != nil {
-			return err
-		}
-		all = append(all, lines...)
+	all, err := readLogs(c.Args.Files)
+	if err != nil {
+		return err
 	}
 	found := traceOf(all, c.Args.RequestID, c.Around)
 	if len(found) == 0 {
 		return eris.Wrapf(gw.ErrNotFound, "no line is about request %s; regular ends are logged for one in 64",
 			c.Args.RequestID)
 	}
+	return c.app.print(found, logRows(found))
+}
+
+// logRows returns a table of lines.
+func logRows(lines []logLine) [][]string {
 	rows := [][]string{{"TIME", "HOST", "WHAT", "WHY"}}
-	for _, l := range found {
+	for _, l := range lines {
 		rows = append(rows, []string{l.Time.UTC().Format("15:04:05.000"), l.Host, l.Message, l.why()})
 	}
-	return c.app.print(found, rows)
+	return rows
+}
+
+// readLogs reads files, or standard input when there is none.
+func readLogs(names []string) ([]logLine, error) {
+	if len(names) == 0 {
+		return readLog(os.Stdin)
+	}
+	var all []logLine
+	for _, name := range names {
+		f, err := os.Open(name) //nolint:gosec // the operator names the file
+		if err != nil {
+			return nil, eris.Wrap(err, "read log")
+		}
+		lines, err := readLog(f)
+		// Nothing was written to the file, so that closing it cannot lose anything.
+		_ = f.Close()
+		if err != nil {
+			return nil, eris.Wrapf(err, "%s", name)
+		}
+		all = append(all, lines...)
+	}
+	return all, nil
 }
 
 // readLog reads the lines that are JSON objects, whatever stands before them; others are not a host's.
