--- a/cmd/geraniumctl/timeline_test.go
+++ b/cmd/geraniumctl/timeline_test.go
@@ -9,8 +9,8 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Guards against changes of state that are missing from the timeline, out of order, or mixed with requests, and against a
-// time that cannot be read and is taken for none.
+// Guards against changes of state that are missing from the timeline, out of order, or mixed with requests, and against
+// a time that cannot be read and is taken for none.
 func TestTimeline(t *testing.T) {
 	files, err := filepath.Glob("testdata/trace/*.log")
 	require.NoError(t, err)
--- a/hosts.go
+++ b/hosts.go
@@ -43,8 +43,8 @@
 	leastShare    = 0.2
 )
 
-// Weight is how much work for others a host can take compared with other hosts: what its scarcer resource permits beside
-// its own callers.
+// Weight is how much work for others a host can take compared with other hosts: what its scarcer resource permits
+// beside its own callers.
 func (h HostEntry) Weight() float64 {
 	weight := max(h.Cores*weightPerCore, h.LinkMegabits)
 	switch {
--- a/internal/process/gwlease/messages.go
+++ b/internal/process/gwlease/messages.go
@@ -32,8 +32,8 @@
 }
 
 // CommitDone answers CommitAssignment. Err is nil when the write was applied, gw.ErrConflict when it was not
-// and never will be, and any other error when the outcome is unknown. Found is set on a conflict when the store has told
-// the record that it has, which Version and Current then hold.
+// and never will be, and any other error when the outcome is unknown. Found is set on a conflict when the store has
+// told the record that it has, which Version and Current then hold.
 type CommitDone struct {
 	ID      uint64
 	Version gw.StoreVersion
--- a/internal/process/gwlease/view_test.go
+++ b/internal/process/gwlease/view_test.go
@@ -25,11 +25,12 @@
 	require.Empty(t, unknown, "no share is known, so nothing can be estimated")
 }
 
-// Guards against dispatchers and controllers that are given out by number of hosts where some have little left beside their own
-// callers.
+// Guards against dispatchers and controllers that are given out by number of hosts where some have little left beside
+// their own callers.
 func TestWorkFollowsTheWeightOfHosts(t *testing.T) {
 	hosts := []gw.HostEntry{
-		{Name: "weak-1", Cores: 0.16, LinkMegabits: 10}, {Name: "weak-2", Cores: 0.16, LinkMegabits: 10},
+		{Name: "weak-1", Cores: 0.16, LinkMegabits: 10},
+		{Name: "weak-2", Cores: 0.16, LinkMegabits: 10},
 		{Name: "strong", Cores: 0.8, LinkMegabits: 200},
 	}
 	c := New(WithHost("strong", "strong#1"), WithCell(gw.CellID{Service: "lookups", DataCentre: "a"}, "holland"))
--- a/internal/process/gwmembers/members.go
+++ b/internal/process/gwmembers/members.go
@@ -21,8 +21,8 @@
 	pollTimeout = time.Second
 	// forgetLeaving is how long a server that has left is remembered. No lease names it for so long.
 	forgetLeaving = time.Minute
-	// oldestLeaving bounds how far back the leaving of a server is dated after an outage. It is longer than any server that
-	// leaves is still sent requests, and shorter than forgetLeaving.
+	// oldestLeaving bounds how far back the leaving of a server is dated after an outage. It is longer than any server
+	// that leaves is still sent requests, and shorter than forgetLeaving.
 	oldestLeaving = 10 * time.Second
 	// tellEqual is the time between equal listings that others are told of. Each heartbeat of a server makes a newer
 	// reading, which every host would take in.
@@ -184,7 +184,7 @@
 	})
 }
 
-// noteLeaving remembers since when servers are leaving or gone: since may be zero, which means now. The caller holds mu.
+// noteLeaving remembers since when servers are leaving or gone. A zero since means now. The caller holds mu.
 func (m *Members) noteLeaving(before, after []gw.ServerEntry, since time.Time) {
 	now := time.Now()
 	if since.IsZero() {
@@ -213,8 +213,8 @@
 	}
 }
 
-// LeavingSince returns since when a server may have been leaving or gone, and false when this host does not know that it
-// is.
+// LeavingSince returns since when a server may have been leaving or gone, and false when this host does not know that
+// it is.
 func (m *Members) LeavingSince(name gw.ServerName) (time.Time, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/process/gwmembers/members_test.go
+++ b/internal/process/gwmembers/members_test.go
@@ -79,7 +79,7 @@
 }
 
 // Guards against a server that is sent requests for too long after it began to leave, since its leaving is counted from
-// the reading that showed it instead of from the reading before: the pause between readings is longer than what is left.
+// the reading that showed it instead of from the one before: the pause between readings is longer than what is left.
 func TestLeavingCountsFromTheReadingBefore(t *testing.T) {
 	live := []gw.ServerEntry{{Name: "s1", State: gw.EntryLive}, {Name: "s2", State: gw.EntryLive}}
 	list := &fixedList{listing: gw.Listing{Revision: 1, Servers: live}}
--- a/internal/version/gwfeed/delay_test.go
+++ b/internal/version/gwfeed/delay_test.go
@@ -50,7 +50,10 @@
 			self = h
 		}
 	}
-	n := &silentNetwork{network: &network{feeds: map[string]*gwfeed.Feed{}, cut: map[string]bool{}}, silent: relays[0].PeerAddress}
+	n := &silentNetwork{
+		network: &network{feeds: map[string]*gwfeed.Feed{}, cut: map[string]bool{}},
+		silent:  relays[0].PeerAddress,
+	}
 	other := gwfeed.NewHub(func(gw.Item) error { return nil })
 	n.feeds[relays[1].PeerAddress] = gwfeed.New(gwfeed.WithHub(other), gwfeed.WithPeer(n), gwfeed.WithSelf(relays[1], "r"),
 		gwfeed.WithHosts(func() []gw.HostEntry { return hosts }), gwfeed.WithSource(newSource()))
--- a/internal/version/gwfeed/feed.go
+++ b/internal/version/gwfeed/feed.go
@@ -25,8 +25,8 @@
 	callSlack = time.Second
 	// offerInterval repeats offers that a relay has not accepted yet.
 	offerInterval = 500 * time.Millisecond
-	// lookInterval is the time between looks at the list of hosts while this one has no relay, or is none. It costs nothing,
-	// and a host that has just started knows no others yet.
+	// lookInterval is the time between looks at the list of hosts while this one has no relay, or is none. It costs
+	// nothing, and a host that has just started knows no others yet.
 	lookInterval = 100 * time.Millisecond
 	// syncInterval is the time between comparisons of versions among relays.
 	syncInterval = 2 * time.Second
--- a/internal/version/gwspread/relieve.go
+++ b/internal/version/gwspread/relieve.go
@@ -176,8 +176,10 @@
 	for i := 1; i < len(d.ranges) && excess > 0; i++ {
 		a, b := &d.ranges[i-1], &d.ranges[i]
 		k, known := d.index[a.owner]
-		if a.owner != b.owner || !known || !d.servers[k].own || d.servers[k].State != gw.ServerUp ||
-			a.touched || b.touched || a.cut || b.cut || d.pending(a.First) || d.pending(b.First) || a.load+b.load > 2*minMoveRate {
+		if a.owner != b.owner || !known || !d.servers[k].own || d.servers[k].State != gw.ServerUp {
+			continue
+		}
+		if a.busy(d) || b.busy(d) || a.load+b.load > 2*minMoveRate {
 			continue
 		}
 		a.touched, b.touched = true, true
@@ -185,3 +187,8 @@
 		excess--
 	}
 }
+
+// busy reports whether the plan, or a move that is not seen yet, changes the range.
+func (r *keyRange) busy(d *draft) bool {
+	return r.touched || r.cut || d.pending(r.First)
+}
--- a/record.go
+++ b/record.go
@@ -85,8 +85,8 @@
 	return a, nil
 }
 
-// DecodeAssignment reads an assignment from the store or another host. It returns ErrBadRange for one that does not cover
-// its key space.
+// DecodeAssignment reads an assignment from the store or another host. It returns ErrBadRange for one that does not
+// cover its key space.
 func DecodeAssignment(data []byte) (Assignment, error) {
 	var a Assignment
 	if len(data) == 0 || data[0] != packedRecord {
