--- a/internal/process/gwmembers/members_test.go
+++ b/internal/process/gwmembers/members_test.go
@@ -107,8 +107,8 @@
 	require.WithinDuration(t, time.Now().Add(-oldestLeaving), since, time.Second)
 }
 
-// Guards against a host that passes on a listing at each heartbeat of a server, six times a second with 254 servers, and
-// against one that does not pass on a change at once.
+// Guards against a host that passes on a listing at each heartbeat of a server, six times a second with 254 servers,
+// and against one that does not pass on a change at once.
 func TestEqualListingsAreToldOncePerSecond(t *testing.T) {
 	told := 0
 	list := &fixedList{listing: gw.Listing{Servers: []gw.ServerEntry{{Name: "s1", State: gw.EntryLive}}}}
--- a/internal/version/gwfeed/delay_test.go
+++ b/internal/version/gwfeed/delay_test.go
@@ -101,7 +101,11 @@
 	runFeed(t, f)
 	<-f.Ready()
 	// The feed has looked for relays once by then.
-	require.Never(t, func() bool { _, ok := hub.Get("assignment/x"); return ok }, 250*time.Millisecond, 10*time.Millisecond)
+	has := func() bool {
+		_, ok := hub.Get("assignment/x")
+		return ok
+	}
+	require.Never(t, has, 250*time.Millisecond, 10*time.Millisecond)
 	known.Store(true)
-	require.Eventually(t, func() bool { _, ok := hub.Get("assignment/x"); return ok }, time.Second, time.Millisecond)
+	require.Eventually(t, has, time.Second, time.Millisecond)
 }
--- a/internal/version/gwspread/policy_test.go
+++ b/internal/version/gwspread/policy_test.go
@@ -179,9 +179,9 @@
 }
 
 // Guards against a block of busy neighbours that stays with one server, against ranges that stay with servers that
-// leave or are lost, against servers that join and get nothing, against moves for the noise of a count, and against busy
-// neighbours that are spread one block a view: on the first two seconds of a day 20% of the lookups were refused.
-// Guards against a single busy key that stays with a slow server.
+// leave or are lost, against servers that join and get nothing, and against moves for the noise of a count. Guards also
+// against busy neighbours that are spread one block a view (in the first two seconds of a day 20% of the lookups were
+// refused), and against a single busy key that stays with a slow server.
 func TestScenes(t *testing.T) {
 	data, err := os.ReadFile("testdata/scenes.json")
 	require.NoError(t, err)
