--- a/hosts.go
+++ b/hosts.go
@@ -38,7 +38,8 @@
 	// core, at 1 ms and 12 KB a request.
 	weightPerCore = 100
 	// callersWeight is what the callers of a host take of its weight, since the balancer gives every host the same share
-	// of them: 45 requests a second with 10 KB each way on the weakest hosts. leastShare is what is left at least.
+	// of them: 45 requests a second with 10 KB each way are 4 Mbit/s, and twice that in bursts. leastShare is the share
+	// of the weight that is left at least.
 	callersWeight = 8
 	leastShare    = 0.2
 )
--- a/internal/request/gwsplit/splitter_test.go
+++ b/internal/request/gwsplit/splitter_test.go
@@ -82,13 +82,13 @@
 // Guards against a debt of earlier weights that is paid under new ones.
 func TestNewWeightsStartAnew(t *testing.T) {
 	s := gwsplit.New()
-	any := func(gw.ServiceName) gwsplit.Preference { return gwsplit.Indifferent }
+	indifferent := func(gw.ServiceName) gwsplit.Preference { return gwsplit.Indifferent }
 	route := gw.Route{Name: "uploads", Split: []gw.WeightedService{{Service: "a", Weight: 1}, {Service: "b", Weight: 9}}}
 	for range 9 {
-		s.Choose(route, any)
+		s.Choose(route, indifferent)
 	}
 	route.Split = []gw.WeightedService{{Service: "a", Weight: 9}, {Service: "b", Weight: 1}}
-	require.Equal(t, gw.ServiceName("a"), s.Choose(route, any))
+	require.Equal(t, gw.ServiceName("a"), s.Choose(route, indifferent))
 }
 
 // Guards against a route without split that gets another service.
