lease, dispatch: go on while the store cannot name a successor

Cause: a stopping controller handed its cells over at once, and a successor cannot commit a takeover while the store is slow or away; nor can the successor of a controller that was killed.

Ruled out: a prepare message to the successor. It needs another message and another state, and does nothing for a controller that is killed.

Change: a stopping controller goes on until a read sent after the stop has been answered, 4 s at most. A dispatcher goes on for an overrun after its lease, told by the lease itself, for servers that see to their keys themselves, are warm and do not leave (10 s on the platform, 0 elsewhere). leaveWhenOut no longer goes on as a controller in the step in which it has handed over.

--- a/cmd/geraniumworks/platform.go
+++ b/cmd/geraniumworks/platform.go
@@ -32,6 +32,10 @@
 // down: they are counted over all hosts.
 const platformRetryBurst = 5
 
+// platformLeaseOverrun covers the outages of the store that the platform announces, 9 s, since no controller can be
+// replaced meanwhile. Servers there run no more requests at once than they bear, and refuse the rest.
+const platformLeaseOverrun = 10 * time.Second
+
 // platformBackend returns the connection to the users' platform.
 func platformBackend(
 	settings gwsettings.Settings,
@@ -48,6 +52,7 @@
 		timing.Authority = platformAuthority
 		timing.ReadEvery = platformReadEvery
 		timing.CandidateReadEvery = platformCandidateReadEvery
+		timing.LeaseOverrun = platformLeaseOverrun
 		return gwhost.Backend{
 			Store: p.Store(), HostList: p.HostList(), Servers: p.Servers(), Configs: p,
 			CallerProtocol: p.CallerProtocol(), ServerProtocol: p.ServerProtocol(),
--- a/internal/process/gwlease/core.go
+++ b/internal/process/gwlease/core.go
@@ -124,6 +124,9 @@
 	if c.cfg.Version == 0 && !c.listed {
 		return
 	}
+	if c.controls() && c.mayHandOver() {
+		c.handOver()
+	}
 	c.readRecord()
 	c.resolveWrite()
 	if !c.controls() {
@@ -131,7 +134,6 @@
 		c.continueHandover()
 		return
 	}
-	c.leaveWhenOut()
 	c.probeFormer()
 	c.renewServers()
 	c.renewDispatchers()
--- a/internal/process/gwlease/handover.go
+++ b/internal/process/gwlease/handover.go
@@ -1,6 +1,9 @@
 package gwlease
 
 import (
+	"slices"
+	"time"
+
 	gw "github.com/geraniumworks/geraniumworks"
 )
 
@@ -10,14 +13,19 @@
 	epoch  gw.Epoch
 	id     uint64
 	tried  int
+	// stopID is the last request id used before the planned stop, and by is when the cell is handed over at the latest.
+	stopID uint64
+	by     time.Time
 }
 
 // stop starts a planned stop. The Core takes no role again.
 func (c *Core) stop() {
-	c.stopping = true
-	if c.controls() {
-		c.handOver()
+	if c.stopping {
+		return
 	}
+	c.stopping = true
+	c.handover.stopID = c.lastID
+	c.handover.by = c.now.Add(c.o.timing.HandoverWait)
 	c.wake = true
 }
 
@@ -33,21 +41,24 @@
 	epoch, reachedAll := c.control.epoch, !c.unreachedOwner()
 	c.event(Event{Kind: EventControlHandedOver, Host: c.o.host})
 	c.loseControl("handed over")
-	c.handover = handoverState{active: reachedAll, epoch: epoch}
+	c.handover.active, c.handover.epoch, c.handover.tried = reachedAll, epoch, 0
 	c.continueHandover()
 }
 
-// leaveWhenOut hands over when this host leaves or is taken out of service and another candidate exists.
-func (c *Core) leaveWhenOut() {
-	if len(c.order) == 0 {
-		return
-	}
-	for _, h := range c.listing.Hosts {
-		if h.Name == c.o.host && !inService(c.cfg, h) {
-			c.handOver()
-			return
-		}
+// mayHandOver reports whether this controller is to pass the cell on now. One that stops goes on until a read has shown
+// that the store answers, since its successor cannot commit before that and the cell would have no controller.
+func (c *Core) mayHandOver() bool {
+	if c.stopping {
+		return c.confirmedAfter(c.handover.stopID) || !c.now.Before(c.handover.by)
 	}
+	return c.isOutWithOthers()
+}
+
+// isOutWithOthers reports whether this host leaves or is taken out of service and another candidate exists.
+func (c *Core) isOutWithOthers() bool {
+	return len(c.order) > 0 && slices.ContainsFunc(c.listing.Hosts, func(h gw.HostEntry) bool {
+		return h.Name == c.o.host && !inService(c.cfg, h)
+	})
 }
 
 // continueHandover asks the next candidate after a refusal or a lost answer.
--- a/internal/process/gwlease/lease.go
+++ b/internal/process/gwlease/lease.go
@@ -92,6 +92,9 @@
 			d.ColdRequestsPerSecond = c.service.ColdRequestsPerSecond
 			d.ColdUntil = h.clock + gw.ClockMilliseconds(cold.Milliseconds())
 		}
+		if !c.exclusive(s) {
+			d.OverrunMilliseconds = c.o.timing.LeaseOverrun.Milliseconds()
+		}
 		// A dispatcher refuses by its list for a server that relies on it, and only counts by it for others.
 		d.RangesOmitted = !c.exclusive(s) && s.dispatch.report.Revision == d.Revision
 		if c.service.DividedByKey && !d.RangesOmitted {
--- a/internal/process/gwlease/options.go
+++ b/internal/process/gwlease/options.go
@@ -16,6 +16,9 @@
 	Session time.Duration
 	// Lease is the same for a dispatcher's lease.
 	Lease time.Duration
+	// LeaseOverrun is how long a dispatcher goes on after its lease has ended, for servers that see to their keys
+	// themselves.
+	LeaseOverrun time.Duration
 	// Authority is how long a controller may act after it sent its last read that named it.
 	Authority time.Duration
 	// RatePercent bounds the relative rate of two clocks, ClockMargin their granularity.
@@ -44,6 +47,8 @@
 	StoreTimeout   time.Duration
 	// LostAfter is the silence after which a server without session is released from its dispatcher.
 	LostAfter time.Duration
+	// HandoverWait is how long a controller that stops goes on while the store does not answer.
+	HandoverWait time.Duration
 	// DirectoryWait is how long a new controller waits for dispatchers before it publishes a directory.
 	DirectoryWait time.Duration
 }
@@ -58,7 +63,7 @@
 		ReadEvery: 10 * time.Second, CandidateReadEvery: 10 * time.Second, Misses: 3,
 		RequestTimeout: 1500 * time.Millisecond, GrantTimeout: 500 * time.Millisecond,
 		ReleaseTimeout: 5 * time.Second, StoreTimeout: 2 * time.Second,
-		LostAfter: 3 * time.Second, DirectoryWait: 300 * time.Millisecond,
+		LostAfter: 3 * time.Second, HandoverWait: 4 * time.Second, DirectoryWait: 300 * time.Millisecond,
 	}
 }
 
--- a/internal/process/gwlease/simserver_test.go
+++ b/internal/process/gwlease/simserver_test.go
@@ -194,6 +194,11 @@
 	return st
 }
 
+// maySend reports whether the newest lease lets the process send to a server at a time.
+func (d *simDispatcher) maySend(now time.Duration, s gw.DispatchServer) bool {
+	return d.clock.milliseconds(now) < d.deadline+gw.ClockMilliseconds(s.OverrunMilliseconds)
+}
+
 func (d *simDispatcher) raise(epoch gw.Epoch) {
 	if epoch > d.epoch {
 		d.epoch, d.sequence = epoch, 0
--- a/internal/request/gwdispatch/grant.go
+++ b/internal/request/gwdispatch/grant.go
@@ -31,7 +31,7 @@
 
 // check returns the index of the request's range, -1 without a key, or why the request must not be sent.
 func (s *serverState) check(now time.Time, r *request) (int, *gw.Refusal) {
-	if !s.listed || !now.Before(s.leaseEnd) {
+	if !s.listed || !now.Before(s.sendEnd) {
 		return -1, gw.Refuse(gw.ReasonNoServer, "this host is not the dispatcher of the server")
 	}
 	if !r.HasKey {
@@ -109,7 +109,7 @@
 		s.server = &server
 	}
 	first := !s.listed && s.leased == ""
-	s.listed, s.leaseEnd = true, end
+	s.listed, s.leaseEnd, s.sendEnd = true, end, sendEnd(end, server)
 	if server.Incarnation != s.leased {
 		s.leased = server.Incarnation
 		switch {
@@ -129,6 +129,17 @@
 	s.advance(now)
 }
 
+// sendEnd returns when the right to send to a server ends. Without a controller for longer than a lease, the dispatcher
+// goes on as it was last told: the server sees to its keys itself, and to send nothing would refuse all its callers. A
+// cold server's rate holds over all senders and a leaving server must get nothing soon, so that neither is sent to
+// after the lease.
+func sendEnd(leaseEnd time.Time, server gw.DispatchServer) time.Time {
+	if server.Leaving || server.ColdRequestsPerSecond > 0 {
+		return leaseEnd
+	}
+	return leaseEnd.Add(time.Duration(server.OverrunMilliseconds) * time.Millisecond)
+}
+
 // supersede ends releases whose ranges a newer lease lists again.
 func (s *serverState) supersede(version gw.ItemVersion) {
 	s.releases = slices.DeleteFunc(s.releases, func(w *releaseWait) bool {
@@ -197,5 +208,5 @@
 func sameServer(a, b gw.DispatchServer) bool {
 	return a.Name == b.Name && a.Address == b.Address && a.Incarnation == b.Incarnation &&
 		a.ChecksFencing == b.ChecksFencing && a.Slots == b.Slots && a.Connections == b.Connections &&
-		a.Leaving == b.Leaving && a.Revision == b.Revision && slices.Equal(a.Ranges, b.Ranges)
+		a.Leaving == b.Leaving && a.OverrunMilliseconds == b.OverrunMilliseconds && a.Revision == b.Revision && slices.Equal(a.Ranges, b.Ranges)
 }
--- a/internal/request/gwdispatch/server.go
+++ b/internal/request/gwdispatch/server.go
@@ -15,7 +15,9 @@
 	server   *gw.DispatchServer
 	listed   bool
 	leaseEnd time.Time
-	blocks   []block
+	// sendEnd is when the right to send ends, at leaseEnd or later.
+	sendEnd time.Time
+	blocks  []block
 	// incarnation is the newest one known, from a lease or from an answer; leased is that of the last lease.
 	incarnation, leased gw.Incarnation
 
@@ -165,7 +167,7 @@
 	r.state = stateRunning
 	r.started = now
 	r.server, r.incarnation = s.server, s.incarnation
-	r.sendBefore = s.leaseEnd
+	r.sendBefore = s.sendEnd
 	if r.Deadline.Before(r.sendBefore) {
 		r.sendBefore = r.Deadline
 	}
@@ -263,7 +265,7 @@
 }
 
 func (s *serverState) serve(now time.Time) {
-	if !s.listed || !now.Before(s.leaseEnd) {
+	if !s.listed || !now.Before(s.sendEnd) {
 		s.sweep(now)
 		return
 	}
@@ -305,7 +307,7 @@
 	}
 	if s.queue.length > 0 {
 		earlier(s.queue.earliest())
-		earlier(s.leaseEnd)
+		earlier(s.sendEnd)
 		earlier(s.level.wake(now))
 		earlier(s.pace.wake(now))
 	}
--- a/peer.go
+++ b/peer.go
@@ -95,6 +95,9 @@
 	// ColdUntil is a reading of the receiver's clock until which the server bears its cold rate only.
 	ColdUntil             ClockMilliseconds `json:"cold-until-clock-milliseconds,omitempty"`
 	ColdRequestsPerSecond float64           `json:"cold-requests-per-second,omitempty"`
+	// OverrunMilliseconds is how long after the lease's deadline the receiver goes on sending while no controller has
+	// told it otherwise. It is zero for a server that relies on a single sender.
+	OverrunMilliseconds int64 `json:"overrun-milliseconds,omitempty"`
 	// Revision is the revision of the assignment that Ranges is taken from. RangesOmitted is true when the
 	// receiver has reported the same revision; it then keeps the ranges it has.
 	Revision      Revision       `json:"revision"`
