metrics: time in each stage, age of beliefs; the page is checked

Cause: the metrics address had counters only. Whether a slow answer waited in a queue, on the way between hosts or at its server could be seen from sampled log lines alone, and docs/METRICS.md was a copy of what one host had served once, with a row that had got into the wrong table.

Ruled out: one histogram for all stages. Entry hosts know the route and dispatchers the service, and series with empty labels would hide that.

Change: histograms with fixed buckets for the whole request and each attempt at the entry host, for the queue and the server at the dispatcher; gauges for the age of host list and feed and for the version of the configuration. A test of cmd/geraniumworks compares the page with what a host registers, on the platform and on the project's own interfaces.

--- a/internal/process/gwhost/host.go
+++ b/internal/process/gwhost/host.go
@@ -102,9 +102,15 @@
 	}
 	h.buildRequestPath()
 	h.buildControl()
+	h.registerBeliefs()
 	return h, nil
 }
 
+// Metrics returns the descriptions of all metrics that this host serves, also of those that have counted nothing yet.
+func (h *Host) Metrics() prometheus.Collector {
+	return h.registry
+}
+
 // connect makes the adapters to the outside and to other hosts.
 func (h *Host) connect() error {
 	var err error
--- a/internal/process/gwmembers/members.go
+++ b/internal/process/gwmembers/members.go
@@ -47,6 +47,8 @@
 	number  uint64
 	equal   int
 	failing bool
+	// readAt is when this host last read the list itself.
+	readAt time.Time
 	// toldAt is when the others were last told of a reading.
 	toldAt time.Time
 	// leaving is since when each server may have been leaving or no longer listed, as far as this host knows.
@@ -97,6 +99,17 @@
 	return m.listing, m.number
 }
 
+// CurrentAt returns the time up to which the listing is known to be complete, zero before the first reading: what the
+// host list says of itself, or else when it was last read.
+func (m *Members) CurrentAt() time.Time {
+	if at := m.list.CurrentAt(); !at.IsZero() {
+		return at
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.readAt
+}
+
 // Hosts returns the hosts in the latest listing.
 func (m *Members) Hosts() []gw.HostEntry {
 	listing, _ := m.Listing()
@@ -144,6 +157,7 @@
 		return false
 	}
 	m.reads.WithLabelValues("ok").Inc()
+	m.readAt = time.Now()
 	if m.failing {
 		m.log.Info("host list can be read again")
 	}
--- a/internal/request/gwdispatch/grant.go
+++ b/internal/request/gwdispatch/grant.go
@@ -208,5 +208,6 @@
 func sameServer(a, b gw.DispatchServer) bool {
 	return a.Name == b.Name && a.Address == b.Address && a.Incarnation == b.Incarnation &&
 		a.ChecksFencing == b.ChecksFencing && a.Slots == b.Slots && a.Connections == b.Connections &&
-		a.Leaving == b.Leaving && a.OverrunMilliseconds == b.OverrunMilliseconds && a.Revision == b.Revision && slices.Equal(a.Ranges, b.Ranges)
+		a.Leaving == b.Leaving && a.OverrunMilliseconds == b.OverrunMilliseconds &&
+		a.Revision == b.Revision && slices.Equal(a.Ranges, b.Ranges)
 }
--- a/internal/request/gwdispatch/state_test.go
+++ b/internal/request/gwdispatch/state_test.go
@@ -128,7 +128,8 @@
 		_, leaving := a["leaving"]
 		s.state.lease(s.now, gw.DispatchServer{
 			Name: "s1", Incarnation: gw.Incarnation(a["inc"]), Slots: int(number(a["slots"])), Leaving: leaving,
-			Ranges: granted, OverrunMilliseconds: optional(a["overrun"]), ColdRequestsPerSecond: float64(optional(a["cold-rate"])),
+			Ranges: granted, OverrunMilliseconds: optional(a["overrun"]),
+			ColdRequestsPerSecond: float64(optional(a["cold-rate"])),
 		}, at(number(a["end"])), gw.ItemVersion{Epoch: 1, Sequence: uint64(number(a["seq"]))})
 	case "unlist":
 		s.state.unlist(s.now)
--- a/internal/request/gwentry/attempt.go
+++ b/internal/request/gwentry/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/geraniumworks/geraniumworks/internal/process/gwtimer"
 	"github.com/geraniumworks/geraniumworks/internal/request/gwforward"
 	"github.com/geraniumworks/geraniumworks/internal/request/gwretry"
+	"github.com/geraniumworks/geraniumworks/internal/request/gwstage"
 )
 
 // maxRouteWait is how long a request waits for newer state when the table cannot be right.
@@ -141,6 +142,7 @@
 			res.refusal = failed.Refusal
 		}
 	}
+	c.observe(start, gwstage.StageAttempt, res.refusal)
 	if res.answer != nil || cancelled(ctx) {
 		// A cancelled attempt counts with the time it took so far: without it, the stragglers that hedges overtake
 		// would be missing from the quantile.
--- a/internal/request/gwentry/handler.go
+++ b/internal/request/gwentry/handler.go
@@ -16,6 +16,7 @@
 	"github.com/geraniumworks/geraniumworks/internal/request/gwforward"
 	"github.com/geraniumworks/geraniumworks/internal/request/gwretry"
 	"github.com/geraniumworks/geraniumworks/internal/request/gwsplit"
+	"github.com/geraniumworks/geraniumworks/internal/request/gwstage"
 )
 
 // Handler takes requests of callers.
@@ -28,6 +29,7 @@
 	patience patience
 	splitter *gwsplit.Splitter
 	results  *prometheus.CounterVec
+	times    *gwstage.Times
 }
 
 // New returns a handler.
@@ -53,6 +55,7 @@
 			Namespace: "geraniumworks", Subsystem: "entry", Name: "requests_total",
 			Help: "Requests of callers, by outcome and by reason when refused.",
 		}, []string{"outcome", "reason"}),
+		times: gwstage.New(o.Registerer, "entry", "route", "kind", "outcome"),
 	}
 	// Routes are those of the configuration, so that echo's own routing is passed over. It would answer CONNECT
 	// and unusual methods itself.
--- a/internal/request/gwentry/log.go
+++ b/internal/request/gwentry/log.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	gw "github.com/geraniumworks/geraniumworks"
+	"github.com/geraniumworks/geraniumworks/internal/request/gwstage"
 )
 
 // sampledShare is the share of requests, as one in so many, whose regular end is logged. The choice follows from the
@@ -20,9 +21,19 @@
 	return id != "" && xxhash.Sum64String(id)%sampledShare == 0
 }
 
+// observe counts the time of a stage by route and outcome.
+func (c *call) observe(start time.Time, stage gwstage.Stage, refusal *gw.Refusal) {
+	outcome := gw.OutcomeAnswered
+	if refusal != nil {
+		outcome = refusal.Reason.Outcome()
+	}
+	c.handler.times.Since(start, stage, string(c.route.Name), string(c.route.Kind), string(outcome))
+}
+
 // logEnd logs how a request ended and what decided it. Neither the path nor the key is logged, since those of some
 // tenants must not leave their home regions.
 func (c *call) logEnd(refusal *gw.Refusal, status int) {
+	c.observe(c.started, gwstage.StageRequest, refusal)
 	if refusal == nil && status < http.StatusInternalServerError && !Sampled(c.id) {
 		return
 	}
--- a/internal/request/gwrelay/relay.go
+++ b/internal/request/gwrelay/relay.go
@@ -14,6 +14,7 @@
 
 	gw "github.com/geraniumworks/geraniumworks"
 	"github.com/geraniumworks/geraniumworks/internal/request/gwforward"
+	"github.com/geraniumworks/geraniumworks/internal/request/gwstage"
 )
 
 // Relay runs requests on the servers whose dispatcher is this host.
@@ -21,6 +22,7 @@
 	opts    Options
 	gate    gwforward.Gate
 	results *prometheus.CounterVec
+	times   *gwstage.Times
 }
 
 // New returns a relay.
@@ -40,6 +42,7 @@
 			Namespace: "geraniumworks", Subsystem: "relay", Name: "attempts_total",
 			Help: "Attempts at servers, by outcome and by reason when there was no answer.",
 		}, []string{"outcome", "reason"}),
+		times: gwstage.New(o.Registerer, "relay", "service"),
 	}
 }
 
@@ -47,7 +50,9 @@
 // answer has arrived whole or is closed.
 func (r *Relay) Deliver(ctx context.Context, req *gwforward.Request) (*gwforward.Answer, *gw.Refusal) {
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	arrived := time.Now()
 	slot, refusal := r.opts.Dispatcher.Acquire(ctx, slotRequest(req))
+	r.times.Since(arrived, gwstage.StageQueue, string(req.Target.Service))
 	if refusal != nil {
 		cancel()
 		r.count(refusal.Reason)
@@ -69,6 +74,7 @@
 		return nil, gw.Refuse(gw.ReasonNoServer, "the right to send to the server has ended")
 	}
 	answer, failed := r.opts.Forwarder.Send(ctx, &toServer)
+	r.times.Since(sent, gwstage.StageServer, string(req.Target.Service))
 	if failed != nil {
 		cancel()
 		slot.Done(failedResult(failed))
--- a/internal/version/gwfeed/feed.go
+++ b/internal/version/gwfeed/feed.go
@@ -62,8 +62,10 @@
 	refused map[gw.HostName]bool
 	// firstAnswered is when the first relay in the order of this host last answered a pull.
 	firstAnswered time.Time
-	trusted       bool
-	ready         chan struct{}
+	// heardAt is when a relay or the store last answered.
+	heardAt time.Time
+	trusted bool
+	ready   chan struct{}
 }
 
 // acceptance is what a relay has accepted from this host.
@@ -204,6 +206,20 @@
 	f.firstAnswered = time.Now()
 }
 
+func (f *Feed) heard() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.heardAt = time.Now()
+}
+
+// HeardAt returns when a relay or the store last answered this host, zero before the first time. A pull that waits for
+// news is answered after 3 s at most, a watch of the store after 20 s.
+func (f *Feed) HeardAt() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.heardAt
+}
+
 // firstAnswers reports whether the first relay in the order of this host answers pulls.
 func (f *Feed) firstAnswers() bool {
 	f.mu.Lock()
@@ -226,6 +242,7 @@
 	if err != nil {
 		return false, err
 	}
+	f.heard()
 	return len(reply.Items) > 0, f.put("relay", reply.Items)
 }
 
@@ -270,6 +287,7 @@
 	if err != nil {
 		return err
 	}
+	f.heard()
 	for _, item := range items {
 		if err := f.Keep(item); err != nil {
 			return err
