--- a/internal/process/gwlease/commit.go
+++ b/internal/process/gwlease/commit.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	gw "github.com/geraniumworks/geraniumworks"
 )
@@ -90,6 +91,8 @@
 		c.tooLarge(current)
 	default:
 		c.storeFailed()
+		// The store does not answer this host either, so that the controller may as well go on.
+		c.relieve = 0
 		if current {
 			c.write.unknown = true
 		}
@@ -104,6 +107,8 @@
 		return
 	}
 	c.event(Event{Kind: EventCommitConflict, Detail: c.write.next.WriteID})
+	// The commit is repeated at once on the record that the answer tells.
+	c.commitAt = time.Time{}
 	if c.record.version == c.write.expected {
 		c.record.stale = true
 	}
@@ -128,6 +133,7 @@
 	c.write = nil
 	if c.record.assignment.WriteID != w.next.WriteID {
 		// Another commit may have followed the write, so that its ranges are settled by comparison alone.
+		c.commitAt = time.Time{}
 		c.event(Event{Kind: EventCommitConflict, Detail: w.next.WriteID})
 		if c.o.faults.noEpochCheck && !w.takeover {
 			next := c.record.assignment
--- a/internal/process/gwlease/core.go
+++ b/internal/process/gwlease/core.go
@@ -37,6 +37,9 @@
 
 	stopping bool
 	handover handoverState
+	relief   reliefState
+	// relieve is the highest epoch whose controller has asked this candidate to take over.
+	relieve gw.Epoch
 
 	servers map[gw.ServerName]*server
 	hosts   map[gw.HostName]*host
@@ -44,6 +47,8 @@
 	// byName holds the servers ordered by name, so that the same inputs give the same outputs.
 	byName []*server
 	plan   gw.Plan
+	// commitAt is when the next changes may be committed.
+	commitAt time.Time
 	// bumpAbove asks for a commit that raises the revision above it, so that a server whose release floor is
 	// higher accepts a list again.
 	bumpAbove gw.Revision
@@ -134,6 +139,7 @@
 		c.continueHandover()
 		return
 	}
+	c.askRelief()
 	c.probeFormer()
 	c.renewServers()
 	c.renewDispatchers()
--- a/internal/process/gwlease/handover.go
+++ b/internal/process/gwlease/handover.go
@@ -89,7 +89,8 @@
 }
 
 func (c *Core) handoverAnswered(in HandoverAnswered) {
-	if _, ok := c.takeRequest(in.ID, requestHandover); !ok {
+	r, ok := c.takeRequest(in.ID, requestHandover, requestRelief)
+	if !ok || r.kind == requestRelief {
 		return
 	}
 	if in.Err == nil && in.Reply.Accepted {
@@ -105,15 +106,21 @@
 
 // AcceptsHandover reports how to answer a handover request, which is then passed on as HandoverReceived.
 func (c *Core) AcceptsHandover(req gw.HandoverRequest) bool {
-	return req.Cell == c.o.cell && c.isCandidate()
+	return req.Cell == c.o.cell && c.isCandidate() && (req.Relieve == 0 || c.mayRelieve())
 }
 
 // handoverReceived takes over at once, without waiting for probes.
 func (c *Core) handoverReceived(req gw.HandoverRequest) {
+	if req.Cell == c.o.cell && req.Relieve > 0 {
+		c.reliefAsked(req.Relieve)
+		return
+	}
 	if req.Cell != c.o.cell || req.Epoch <= c.covered.epoch {
 		return
 	}
 	c.covered = coveredEpoch{epoch: req.Epoch, at: c.now}
+	// The sender has most often just read the store, so that earlier failures of this host say little.
+	c.store.retryAt = time.Time{}
 	c.wake = true
 	if cell, ok := c.recordedCell(); !c.controls() && (!ok || cell.Epoch < req.Epoch) {
 		c.watch.readWanted = true
--- a/internal/process/gwlease/messages.go
+++ b/internal/process/gwlease/messages.go
@@ -67,7 +67,8 @@
 	Err   error
 }
 
-// HandoverReceived says that the controller of the cell has stopped renewing under Epoch and all lower ones.
+// HandoverReceived says that the controller of the cell has stopped renewing under Epoch and all lower ones, or that it
+// asks for relief.
 type HandoverReceived struct{ Request gw.HandoverRequest }
 
 // HandoverAnswered answers SendHandover.
@@ -170,6 +171,7 @@
 	EventControlTaken      EventKind = "control-taken"
 	EventControlLost       EventKind = "control-lost"
 	EventControlHandedOver EventKind = "control-handed-over"
+	EventReliefAsked       EventKind = "relief-asked"
 	EventSessionStarted    EventKind = "session-started"
 	EventSessionExpired    EventKind = "session-expired"
 	EventServerRestarted   EventKind = "server-restarted"
--- a/internal/process/gwlease/move.go
+++ b/internal/process/gwlease/move.go
@@ -287,9 +287,11 @@
 	return ranges
 }
 
-// commit writes all changes that are ready, as one revision.
+// commit writes all changes that are ready, as one revision. Moves become ready one by one, as the last request of each
+// range ends: what is ready shortly after a commit waits for the next one. All cells of a key space write the same
+// record, and commits in quick succession would conflict with those of the others.
 func (c *Core) commit() {
-	if c.write != nil || c.record.stale || c.now.Before(c.store.retryAt) {
+	if c.write != nil || c.record.stale || c.now.Before(c.store.retryAt) || !c.due(c.commitAt) {
 		return
 	}
 	next, events := c.withPlan(c.record.assignment)
@@ -309,6 +311,7 @@
 	if len(events) == 0 && c.bumpAbove < c.record.assignment.Revision {
 		return
 	}
+	c.commitAt = c.now.Add(c.o.timing.CommitEvery)
 	c.startWrite(next, false, events)
 }
 
--- a/internal/process/gwlease/options.go
+++ b/internal/process/gwlease/options.go
@@ -47,6 +47,8 @@
 	StoreTimeout   time.Duration
 	// LostAfter is the silence after which a server without session is released from its dispatcher.
 	LostAfter time.Duration
+	// CommitEvery is the shortest time between two commits of changes by one controller.
+	CommitEvery time.Duration
 	// HandoverWait is how long a controller that stops goes on while the store does not answer.
 	HandoverWait time.Duration
 	// DirectoryWait is how long a new controller waits for dispatchers before it publishes a directory.
@@ -63,7 +65,8 @@
 		ReadEvery: 10 * time.Second, CandidateReadEvery: 10 * time.Second, Misses: 3,
 		RequestTimeout: 1500 * time.Millisecond, GrantTimeout: 500 * time.Millisecond,
 		ReleaseTimeout: 5 * time.Second, StoreTimeout: 2 * time.Second,
-		LostAfter: 3 * time.Second, HandoverWait: 4 * time.Second, DirectoryWait: 300 * time.Millisecond,
+		LostAfter: 3 * time.Second, HandoverWait: 4 * time.Second, CommitEvery: 200 * time.Millisecond,
+		DirectoryWait: 300 * time.Millisecond,
 	}
 }
 
--- a/internal/process/gwlease/property_test.go
+++ b/internal/process/gwlease/property_test.go
@@ -86,7 +86,7 @@
 	for _, kind := range []EventKind{
 		EventControlTaken, EventControlLost, EventControlHandedOver, EventSessionStarted, EventSessionExpired,
 		EventServerRestarted, EventRangeMoved, EventRangeSplit, EventRangeMerged, EventMoveRefused,
-		EventCommitConflict, EventDispatcherChanged, EventAuthorityEnded,
+		EventCommitConflict, EventDispatcherChanged, EventAuthorityEnded, EventReliefAsked,
 	} {
 		require.NotZero(t, seen[kind], kind)
 	}
--- a/internal/process/gwlease/request.go
+++ b/internal/process/gwlease/request.go
@@ -18,6 +18,7 @@
 	requestDispatchRelease
 	requestProbe
 	requestHandover
+	requestRelief
 )
 
 // request is an outstanding request.
--- a/internal/process/gwlease/takeover.go
+++ b/internal/process/gwlease/takeover.go
@@ -72,7 +72,7 @@
 
 // overdue reports whether this candidate is to take over now.
 func (c *Core) overdue(cell gw.Cell) bool {
-	if c.covered.epoch >= cell.Epoch {
+	if max(c.covered.epoch, c.relieve) >= cell.Epoch {
 		return true
 	}
 	if !c.watch.goneAt.IsZero() && !c.now.Before(c.watch.goneAt.Add(c.rankDelay())) {
--- a/peer.go
+++ b/peer.go
@@ -76,6 +76,9 @@
 	From  InstanceID `json:"from"`
 	Cell  CellID     `json:"cell"`
 	Epoch Epoch      `json:"epoch"`
+	// Relieve, with a zero Epoch, asks to take over from the sender, which controls the cell under this epoch, cannot
+	// reach the store, and goes on until the record names a successor.
+	Relieve Epoch `json:"relieve,omitempty"`
 }
 
 // HandoverReply answers a HandoverRequest.
