lease: calls to a store that does not answer are 2 s apart at most

The cell's servers lost their sessions: 137 requests refused with no-owner.

Ruled out: a longer authority. It bounds how long the servers of a lost controller that nobody else reaches keep their keys.

Change: the longest pause between calls is 2 s, with the same jitter; for the 18 controllers of a grown site and an outage of 8 s that is some 50 calls more.

--- a/internal/process/gwlease/record.go
+++ b/internal/process/gwlease/record.go
@@ -28,7 +28,7 @@
 
 const (
 	storeRetryFirst = 100 * time.Millisecond
-	storeRetryMost  = 5 * time.Second
+	storeRetryMost  = 2 * time.Second
 )
 
 // storeFailed doubles the time until the next call, with a jitter that differs between instances so that
