lease: a lost dispatcher's requests occupy no slots of servers that count for themselves

Ruled out: a cold or slow server (no such lines), a level cut down by refusals (the queue was full while nothing ran). A shorter time, as a multiple of the service time: the controller does not know it, and a lost dispatcher is found out 1 s after its last lease, when most of what ran has ended.

Change: the slots are free at servers whose entry in the host list says how many they run at once. Those refuse what is beyond, and say that it has not run. Other servers are counted as before.

--- a/internal/process/gwlease/dispatch.go
+++ b/internal/process/gwlease/dispatch.go
@@ -244,9 +244,11 @@
 	c.wake = true
 }
 
-// dispatcherGone leaves a server without dispatcher.
+// dispatcherGone leaves a server without dispatcher. What the former one has sent may still be running and occupies its
+// slots for the next one, but not at a server whose entry says how many it runs: that one counts for itself and refuses
+// what is beyond, and most of what ran has ended with the lease.
 func (c *Core) dispatcherGone(s *server, running bool) {
-	if running && s.dispatch.slots > 0 {
+	if running && s.dispatch.slots > 0 && s.entry.Slots == 0 {
 		until := c.now.Add(time.Duration(c.service.Limits.DeadlineMilliseconds) * time.Millisecond)
 		s.dispatch.occupied = append(s.dispatch.occupied, occupied{slots: s.dispatch.slots, until: until})
 	}
--- a/internal/process/gwlease/simaction_test.go
+++ b/internal/process/gwlease/simaction_test.go
@@ -89,6 +89,9 @@
 		m.listFor(m.unlisted, string(s.entry.Name), a.For)
 	case "leave-host":
 		m.listFor(m.leaving, string(p.name), a.For)
+	case "list-slots":
+		m.listing.Servers[a.Target%len(m.servers)].Slots = 4
+		m.list()
 	case "drain-server":
 		s.drained = true
 		m.after(a.For, func() { s.drained = false })
