lease: a controller that is about to act gives probes no answer

A cell that was handed over at 19.3 s had four epochs in the record before a controller acted at 23.9 s, when the store was fast again. The successor's commit was under way when another candidate probed it; its reply without epoch is a promise not to act, so that the commit's answer could not start control and a further read was needed, before which the next probe came. Three candidates probe every 0.5 s, and took the successor for lost after three replies.

Ruled out: slower probes; they find lost controllers within 2 s. A reply that promises nothing; a host of an earlier version would take it for the promise.

Change: no answer to a probe while the Core's takeover is under way, or while the record names it and the read that lets it act is not yet answered. It counts as a miss, and three misses of 0.5 s are longer than the store takes.

Test: planned-stop-slow-store (fails on the version before); the schedules of the property tests.

--- a/internal/process/gwcontrol/loop.go
+++ b/internal/process/gwcontrol/loop.go
@@ -3,10 +3,13 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	gw "github.com/geraniumworks/geraniumworks"
 	"github.com/geraniumworks/geraniumworks/internal/process/gwlease"
 	"github.com/geraniumworks/geraniumworks/internal/version/gwtable"
@@ -25,6 +28,9 @@
 	inputBuffer = 1024
 )
 
+// errStarting reports a probe of a controller that waits for the store's word that it may act.
+var errStarting = errors.New("this host is taking the cell over")
+
 // Loop owns the control state of a process. Only the goroutine in Run touches the cores.
 type Loop struct {
 	self      gw.HostEntry
@@ -98,20 +104,23 @@
 	return l
 }
 
-// Probe answers a probe of another host, or returns the error of ctx. It may be called from any goroutine.
+// Probe answers a probe of another host, or returns an error that counts as no answer. It may be called from any goroutine.
 //
 // The answer is made by the goroutine in Run, because a reply without epoch is a promise of the core that must not
 // be older than a decision of the core to act.
 func (l *Loop) Probe(ctx context.Context, req gw.ProbeRequest) (gw.ProbeReply, error) {
-	reply := gw.ProbeReply{Instance: l.instance}
+	reply, answers := gw.ProbeReply{Instance: l.instance}, true
 	err := l.ask(ctx, func(context.Context) {
 		if c, ok := l.cells[req.Cell]; ok {
-			reply = c.core.Probe(l.clock.Now())
+			reply, answers = c.core.Probe(l.clock.Now())
 		}
 	})
 	if err != nil {
 		return gw.ProbeReply{}, err
 	}
+	if !answers {
+		return gw.ProbeReply{}, eris.Wrapf(errStarting, "cell %s", req.Cell)
+	}
 	reply.ConfigVersion = l.table.State().Config.Version
 	return reply, nil
 }
--- a/internal/process/gwlease/control.go
+++ b/internal/process/gwlease/control.go
@@ -41,14 +41,28 @@
 }
 
 // Probe answers a probe. A reply without epoch is a promise: the Core never again acts under the epoch
-// recorded now or a lower one.
-func (c *Core) Probe(now time.Time) gw.ProbeReply {
+// recorded now or a lower one. It gives no answer while it is about to act: with a promise it could not act under the
+// answer of the store that it waits for, and probes come more often than a slow store answers.
+func (c *Core) Probe(now time.Time) (reply gw.ProbeReply, answers bool) {
+	if c.starts() {
+		return gw.ProbeReply{}, false
+	}
 	epoch := c.Controls(now)
 	if epoch == 0 {
 		c.control.abandoned = max(c.control.abandoned, c.control.epoch)
 		c.control.deniedID = c.lastID
 	}
-	return gw.ProbeReply{Instance: c.o.instance, Epoch: epoch, Stopping: c.stopping}
+	return gw.ProbeReply{Instance: c.o.instance, Epoch: epoch, Stopping: c.stopping}, true
+}
+
+// starts reports whether the Core waits for the answer to its takeover, or for the read that lets it act.
+func (c *Core) starts() bool {
+	if c.controls() || c.stopping {
+		return false
+	}
+	cell, ok := c.recordedCell()
+	return ok && cell.Controller == c.o.instance && cell.Epoch > c.control.abandoned ||
+		c.write != nil && c.write.takeover && c.outstanding(c.write.id)
 }
 
 // endAuthority stops a controller that could not read the record for too long, or that has told a probe that
--- a/internal/process/gwlease/sim_test.go
+++ b/internal/process/gwlease/sim_test.go
@@ -118,8 +118,10 @@
 	version  gw.StoreVersion
 	stored   gw.Assignment
 	storeOff bool
-	noAnswer bool
-	cut      map[string]bool
+	// storeDelay is the time that the store takes for an answer.
+	storeDelay time.Duration
+	noAnswer   bool
+	cut        map[string]bool
 
 	failure string
 	held    []holding
@@ -374,7 +376,10 @@
 	case SendProbe:
 		m.callHost(p, o.Host.Name, func(q *simProcess) {
 			core := q.core(o.Request.Cell)
-			reply := core.Probe(time.Unix(0, 0).Add(q.clock.at(m.now)))
+			reply, ok := core.Probe(time.Unix(0, 0).Add(q.clock.at(m.now)))
+			if !ok {
+				return
+			}
 			m.answer(p, c, q.name, ProbeAnswered{ID: o.ID, Host: q.name, Reply: reply})
 		})
 	case SendHandover:
@@ -486,7 +491,7 @@
 		if m.storeOff {
 			in = AssignmentRead{ID: o.ID, Err: gw.ErrStoreUnavailable}
 		}
-		m.send(m.storeLinks(p), func() { m.step(p, c, in) })
+		m.after(m.storeDelay, func() { m.send(m.storeLinks(p), func() { m.step(p, c, in) }) })
 	})
 }
 
@@ -508,7 +513,7 @@
 		if m.noAnswer || !answer {
 			in.Err = gw.ErrWriteUnknown
 		}
-		m.send(m.storeLinks(p), func() { m.step(p, c, in) })
+		m.after(m.storeDelay, func() { m.send(m.storeLinks(p), func() { m.step(p, c, in) }) })
 	}
 	if !m.calm && m.rng.IntN(100) < m.sc.Loss {
 		// The caller learns that the outcome is unknown, and the write is applied later.
--- a/internal/process/gwlease/simaction_test.go
+++ b/internal/process/gwlease/simaction_test.go
@@ -101,6 +101,9 @@
 	case "store-down":
 		m.storeOff = true
 		m.after(a.For, func() { m.storeOff = false })
+	case "slow-store":
+		m.storeDelay = 700 * time.Millisecond
+		m.after(a.For, func() { m.storeDelay = 0 })
 	case "store-loses-answers":
 		m.noAnswer = true
 		m.after(a.For, func() { m.noAnswer = false })
