--- a/internal/process/gwcontrol/loop.go
+++ b/internal/process/gwcontrol/loop.go
@@ -104,7 +104,8 @@
 	return l
 }
 
-// Probe answers a probe of another host, or returns an error that counts as no answer. It may be called from any goroutine.
+// Probe answers a probe of another host, or returns an error that counts as no answer. It may be called from any
+// goroutine.
 //
 // The answer is made by the goroutine in Run, because a reply without epoch is a promise of the core that must not
 // be older than a decision of the core to act.
--- a/internal/process/gwlease/pace_test.go
+++ b/internal/process/gwlease/pace_test.go
@@ -9,8 +9,8 @@
 	gw "github.com/geraniumworks/geraniumworks"
 )
 
-// Guards against a commit for each range that becomes ready. On a grown site, seven of ten commits conflicted with those
-// of other cells of the same key space, and each conflict keeps a released range without owner for a round trip more.
+// Guards against a commit for each range that becomes ready. On a grown site, seven of ten commits conflicted with
+// those of other cells of the same key space, and each conflict leaves a released range without owner for longer.
 func TestRangesThatBecomeReadyOneByOneShareCommits(t *testing.T) {
 	m := newSim(scenario{Seed: 1, Cells: 1, Servers: 12, Steady: true})
 	m.calm = true
