--- a/internal/process/gwlease/core.go
+++ b/internal/process/gwlease/core.go
@@ -163,10 +163,13 @@
 }
 
 func (c *Core) hostsListed(l gw.Listing) {
+	sameHosts := c.listed && slices.Equal(l.Hosts, c.listing.Hosts)
 	c.listing = l
 	c.listed = true
-	c.reorder()
-	c.listHosts()
+	if !sameHosts {
+		c.reorder()
+		c.listHosts()
+	}
 	c.listServers()
 	c.wake = true
 }
