--- a/internal/process/gwlease/commit.go
+++ b/internal/process/gwlease/commit.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"time"
 
 	gw "github.com/geraniumworks/geraniumworks"
 )
@@ -107,8 +106,7 @@
 		return
 	}
 	c.event(Event{Kind: EventCommitConflict, Detail: c.write.next.WriteID})
-	// The commit is repeated at once on the record that the answer tells.
-	c.commitAt = time.Time{}
+	c.pace.conflicted(c.now)
 	if c.record.version == c.write.expected {
 		c.record.stale = true
 	}
@@ -133,7 +131,7 @@
 	c.write = nil
 	if c.record.assignment.WriteID != w.next.WriteID {
 		// Another commit may have followed the write, so that its ranges are settled by comparison alone.
-		c.commitAt = time.Time{}
+		c.pace.conflicted(c.now)
 		c.event(Event{Kind: EventCommitConflict, Detail: w.next.WriteID})
 		if c.o.faults.noEpochCheck && !w.takeover {
 			next := c.record.assignment
@@ -142,6 +140,7 @@
 		}
 		return
 	}
+	c.pace.committed()
 	for _, e := range w.events {
 		c.event(e)
 	}
--- a/internal/process/gwlease/core.go
+++ b/internal/process/gwlease/core.go
@@ -47,8 +47,7 @@
 	// byName holds the servers ordered by name, so that the same inputs give the same outputs.
 	byName []*server
 	plan   gw.Plan
-	// commitAt is when the next changes may be committed.
-	commitAt time.Time
+	pace   commitPace
 	// bumpAbove asks for a commit that raises the revision above it, so that a server whose release floor is
 	// higher accepts a list again.
 	bumpAbove gw.Revision
--- a/internal/process/gwlease/move.go
+++ b/internal/process/gwlease/move.go
@@ -287,11 +287,9 @@
 	return ranges
 }
 
-// commit writes all changes that are ready, as one revision. Moves become ready one by one, as the last request of each
-// range ends: what is ready shortly after a commit waits for the next one. All cells of a key space write the same
-// record, and commits in quick succession would conflict with those of the others.
+// commit writes all changes that are ready, as one revision.
 func (c *Core) commit() {
-	if c.write != nil || c.record.stale || c.now.Before(c.store.retryAt) || !c.due(c.commitAt) {
+	if c.write != nil || c.record.stale || c.now.Before(c.store.retryAt) || c.pace.waits(c.now) {
 		return
 	}
 	next, events := c.withPlan(c.record.assignment)
@@ -311,7 +309,7 @@
 	if len(events) == 0 && c.bumpAbove < c.record.assignment.Revision {
 		return
 	}
-	c.commitAt = c.now.Add(c.o.timing.CommitEvery)
+	c.pace.at = c.now.Add(c.o.timing.CommitEvery)
 	c.startWrite(next, false, events)
 }
 
--- a/internal/process/gwlease/options.go
+++ b/internal/process/gwlease/options.go
@@ -47,7 +47,7 @@
 	StoreTimeout   time.Duration
 	// LostAfter is the silence after which a server without session is released from its dispatcher.
 	LostAfter time.Duration
-	// CommitEvery is the shortest time between two commits of changes by one controller.
+	// CommitEvery is the shortest time between two commits of changes by one controller while the record is contended.
 	CommitEvery time.Duration
 	// HandoverWait is how long a controller that stops goes on while the store does not answer.
 	HandoverWait time.Duration
