lease: handover and relief share the list of candidates and the wish to read

Cause: relief added a loop over the candidates beside the one in continueHandover, which counted down to the one that is due, and a second copy of the condition under which a candidate reads the record.

Ruled out: one message for both requests. A handover promises that the sender has stopped, relief does not.

Change: both take the early candidates from others, now in order.go, and ask for a read through readUpTo. Which host is asked, how often, and when the record is read stay as they were; no test changed.

--- a/internal/process/gwlease/handover.go
+++ b/internal/process/gwlease/handover.go
@@ -66,18 +66,12 @@
 	if !c.handover.active || c.outstanding(c.handover.id) {
 		return
 	}
-	n := c.handover.tried
-	for _, h := range c.order {
-		if h.Name == c.o.host {
-			continue
-		}
-		if n == 0 && c.handover.tried < earlyCandidates {
-			c.sendHandover(h)
-			return
-		}
-		n--
+	others := c.others()
+	if c.handover.tried >= len(others) {
+		c.handover.active = false
+		return
 	}
-	c.handover.active = false
+	c.sendHandover(others[c.handover.tried])
 }
 
 func (c *Core) sendHandover(h gw.HostEntry) {
@@ -122,7 +116,12 @@
 	// The sender has most often just read the store, so that earlier failures of this host say little.
 	c.store.retryAt = time.Time{}
 	c.wake = true
-	if cell, ok := c.recordedCell(); !c.controls() && (!ok || cell.Epoch < req.Epoch) {
+	c.readUpTo(req.Epoch)
+}
+
+// readUpTo asks for a read when the record that this candidate knows is older than an epoch it has heard of.
+func (c *Core) readUpTo(epoch gw.Epoch) {
+	if cell, ok := c.recordedCell(); !c.controls() && (!ok || cell.Epoch < epoch) {
 		c.watch.readWanted = true
 	}
 }
--- a/internal/process/gwlease/order.go
+++ b/internal/process/gwlease/order.go
@@ -95,3 +95,14 @@
 	r := c.rank()
 	return !c.stopping && r >= 0 && r < earlyCandidates
 }
+
+// others returns the early candidates beside this host.
+func (c *Core) others() []gw.HostEntry {
+	others := make([]gw.HostEntry, 0, earlyCandidates)
+	for _, h := range c.order {
+		if h.Name != c.o.host && len(others) < earlyCandidates {
+			others = append(others, h)
+		}
+	}
+	return others
+}
--- a/internal/process/gwlease/relief.go
+++ b/internal/process/gwlease/relief.go
@@ -41,17 +41,6 @@
 	}})
 }
 
-// others returns the early candidates beside this host.
-func (c *Core) others() []gw.HostEntry {
-	others := make([]gw.HostEntry, 0, earlyCandidates)
-	for _, h := range c.order {
-		if h.Name != c.o.host && len(others) < earlyCandidates {
-			others = append(others, h)
-		}
-	}
-	return others
-}
-
 // mayRelieve reports whether this candidate can be expected to commit a takeover.
 func (c *Core) mayRelieve() bool {
 	return c.isCandidate() && !c.controls() && c.storeHealthy()
@@ -64,7 +53,5 @@
 	}
 	c.relieve = max(c.relieve, epoch)
 	c.wake = true
-	if cell, ok := c.recordedCell(); !ok || cell.Epoch < epoch {
-		c.watch.readWanted = true
-	}
+	c.readUpTo(epoch)
 }
