entry, relay: log answers that could not be written

Cause: an answer whose writing fails is counted with reason=cut, and the connection is closed. Nothing says of which request, how much of its time was left, or whether the caller had left first.

Checked: tests and linter of the request path.

--- a/internal/request/gwentry/handler.go
+++ b/internal/request/gwentry/handler.go
@@ -143,6 +143,7 @@
 	_ = c.rc.SetWriteDeadline(c.deadline)
 	if err := answer.Write(w, h.opts.Callers); err != nil {
 		h.results.WithLabelValues(string(gw.OutcomeAnswered), "cut").Inc()
+		c.logCut(answer.Status, err)
 		panic(http.ErrAbortHandler)
 	}
 	h.results.WithLabelValues(string(gw.OutcomeAnswered), "").Inc()
--- a/internal/request/gwentry/log.go
+++ b/internal/request/gwentry/log.go
@@ -65,3 +65,17 @@
 	}
 	c.handler.opts.Logger.LogAttrs(context.Background(), slog.LevelInfo, "request ended", attrs...)
 }
+
+// logCut logs an answer that was not written completely, so that the caller's connection was closed.
+func (c *call) logCut(status int, err error) {
+	now := time.Now()
+	c.handler.opts.Logger.LogAttrs(context.Background(), slog.LevelWarn, "answer was cut off",
+		slog.String("request-id", c.id),
+		slog.String("route", string(c.route.Name)),
+		slog.String("service", string(c.service.Name)),
+		slog.Int("status", status),
+		slog.Int64("elapsed-milliseconds", now.Sub(c.started).Milliseconds()),
+		slog.Int64("left-milliseconds", c.deadline.Sub(now).Milliseconds()),
+		slog.Bool("caller-left", c.in.Context().Err() != nil),
+		slog.Any("error", err))
+}
--- a/internal/request/gwrelay/relay.go
+++ b/internal/request/gwrelay/relay.go
@@ -152,6 +152,18 @@
 	r.opts.Logger.LogAttrs(context.Background(), slog.LevelInfo, "attempt ended", attrs...)
 }
 
+// logCut logs an answer of a server that was not passed on completely to the entry host.
+func (r *Relay) logCut(in *http.Request, req *gwforward.Request, answer *gwforward.Answer, err error) {
+	r.opts.Logger.LogAttrs(context.Background(), slog.LevelWarn, "answer was cut off",
+		slog.String("request-id", req.CallerID),
+		slog.String("service", string(req.Target.Service)),
+		slog.String("server", string(req.Target.Server)),
+		slog.Int("status", answer.Status),
+		slog.Int64("left-milliseconds", time.Until(req.Deadline).Milliseconds()),
+		slog.Bool("caller-left", in.Context().Err() != nil),
+		slog.Any("error", err))
+}
+
 func (r *Relay) countRefusal(reason gw.Reason) {
 	r.results.WithLabelValues(string(reason.Outcome()), string(reason)).Inc()
 }
@@ -212,6 +224,7 @@
 	// An entry host that is paused or unreachable must not occupy a slot beyond the deadline.
 	_ = rc.SetWriteDeadline(req.Deadline)
 	if err := answer.Write(w, gwforward.NativeCallers{}); err != nil {
+		r.logCut(in, req, answer, err)
 		panic(http.ErrAbortHandler)
 	}
 }
