forward: report answers that fail in the last flush

Cause: net/http sends a small answer after the handler has returned and drops the error.

Change: Answer.Write flushes a complete answer and returns the error. It is the same system call as before, made earlier.

Test: TestAnswerThatCannotBeSentIsReported; before: Expected error with "connection is closed" in chain but got nil. Tests of the request path pass.

--- a/internal/request/gwforward/answer.go
+++ b/internal/request/gwforward/answer.go
@@ -183,14 +183,19 @@
 		setHeader(h, "Content-Length", itoa(a.length))
 	}
 	w.WriteHeader(a.Status)
-	if a.ended {
-		if a.filled == 0 {
-			return nil
+	if !a.ended {
+		return a.stream(w)
+	}
+	if a.filled > 0 {
+		if _, err := w.Write(a.buffer[:a.filled]); err != nil {
+			return err
 		}
-		_, err := w.Write(a.buffer[:a.filled])
+	}
+	// Without the flush net/http sends a small answer only after the handler has returned, and drops the error.
+	if err := http.NewResponseController(w).Flush(); !errors.Is(err, http.ErrNotSupported) {
 		return err
 	}
-	return a.stream(w)
+	return nil
 }
 
 // stream copies the body to w as it arrives. A chunked answer is flushed after each read, because the server may
