forward: deliver complete answers whose deadline has passed

What callers saw: a connection that closes without an answer at the deadline of the request, after the server has answered.

Cause: the write deadline of every answer was the deadline of the request. An answer that arrives in the last moment is written after it, so the write fails and the connection is closed in place of the answer. The bound is meant for readers that keep a slot while they take an answer slowly, but a complete answer has given its slot back already. Entry host and relay both set it.

Change: Answer.Write sets the deadline. A complete answer gets 5 s, as refusals do. An answer whose body is still arriving keeps the deadline of the request; when that has passed before its head is written, a refusal with deadline-exceeded takes its place. RefusalTimeout is now WriteTimeout.

Test: TestAnswerAtDeadlineIsDelivered; before: Get "http://127.0.0.1:42789/claims/1": EOF With the change it passes, as do the tests of the request path with -race.

--- a/internal/request/gwentry/fakes_test.go
+++ b/internal/request/gwentry/fakes_test.go
@@ -52,6 +52,8 @@
 	asked   []gw.SlotRequest
 	open    int
 	results []gw.AttemptResult
+	// onDone is called at the end of each attempt, nil for nothing.
+	onDone func()
 }
 
 type slot struct {
@@ -97,6 +99,9 @@
 	if !done {
 		panic("Done was called twice")
 	}
+	if s.d.onDone != nil {
+		s.d.onDone()
+	}
 	s.d.mu.Lock()
 	defer s.d.mu.Unlock()
 	s.d.open--
--- a/internal/request/gwentry/fault_test.go
+++ b/internal/request/gwentry/fault_test.go
@@ -351,3 +351,22 @@
 	require.NoError(t, sys.entry.Wait(ctx))
 	require.NoError(t, sys.relay.Wait(ctx))
 }
+
+// Guards against an answer that arrives in time, is passed on after the deadline, and is dropped with the connection.
+func TestAnswerAtDeadlineIsDelivered(t *testing.T) {
+	const deadline = 200 * time.Millisecond
+	server := echoServer(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole body") })
+	viaRelayAndLocal(t, func(t *testing.T, local bool) {
+		sys := newSystem(t, setup{
+			local: local, servers: map[gw.ServerName]string{"s1": server},
+			limits: gw.ServiceLimits{DeadlineMilliseconds: deadline.Milliseconds()},
+		})
+		sys.dispatcher.onDone = func() { time.Sleep(deadline + 50*time.Millisecond) }
+		got := sys.do(http.MethodGet, "/claims/1", nil)
+		require.NoError(t, got.err)
+		if local {
+			require.Equal(t, http.StatusOK, got.status)
+			require.Equal(t, "whole body", string(got.body))
+		}
+	})
+}
--- a/internal/request/gwentry/handler.go
+++ b/internal/request/gwentry/handler.go
@@ -133,14 +133,15 @@
 		answer.Close()
 		refusal = gw.Refuse(gw.ReasonBadAnswer, "the answer has no declared length and cannot be sent over HTTP/1.0")
 	}
+	if answer != nil && refusal == nil {
+		refusal = answer.CloseExpired(time.Now())
+	}
 	if refusal != nil {
 		c.logEnd(refusal, 0)
 		h.refuse(w, c.rc, !c.body.Complete(), refusal)
 		return
 	}
 	c.logEnd(nil, answer.Status)
-	// A caller that reads the answer slowly must not occupy a slot beyond the deadline.
-	_ = c.rc.SetWriteDeadline(c.deadline)
 	if err := answer.Write(w, h.opts.Callers); err != nil {
 		h.results.WithLabelValues(string(gw.OutcomeAnswered), "cut").Inc()
 		c.logCut(answer.Status, err)
@@ -164,7 +165,7 @@
 		gwforward.Linger(rc)
 	}
 	h.results.WithLabelValues(string(refusal.Reason.Outcome()), string(refusal.Reason)).Inc()
-	_ = rc.SetWriteDeadline(time.Now().Add(gwforward.RefusalTimeout))
+	_ = rc.SetWriteDeadline(time.Now().Add(gwforward.WriteTimeout))
 	gwforward.WriteRefusal(w, h.opts.Callers, refusal)
 }
 
--- a/internal/request/gwforward/answer.go
+++ b/internal/request/gwforward/answer.go
@@ -166,6 +166,25 @@
 	return a.length >= 0 || a.ended
 }
 
+// CloseExpired closes an answer whose body is still arriving although the deadline has passed, and returns the refusal
+// that takes its place. It returns nil for an answer that can be written.
+func (a *Answer) CloseExpired(now time.Time) *gw.Refusal {
+	if a.ended || now.Before(a.r.Deadline) {
+		return nil
+	}
+	a.Close()
+	return gw.Refuse(gw.ReasonDeadlineExceeded, "the answer did not arrive completely before the deadline")
+}
+
+// writeDeadline returns until when the answer may be written. A reader that is slow or unreachable must not occupy a
+// slot beyond the deadline of the request. A complete answer occupies none, so it is delivered after the deadline too.
+func (a *Answer) writeDeadline(now time.Time) time.Time {
+	if a.ended {
+		return now.Add(WriteTimeout)
+	}
+	return a.r.Deadline
+}
+
 // Write writes the answer to w and closes it. After an error the head may already have been sent, so that the caller's
 // connection must be aborted.
 func (a *Answer) Write(w http.ResponseWriter, callers gw.CallerProtocol) error {
@@ -178,13 +197,16 @@
 		// Keeps net/http from detecting a content type.
 		h["Content-Type"] = nil
 	}
+	rc := http.NewResponseController(w)
+	// Writers without deadline support occur in tests only and have no slow reader.
+	_ = rc.SetWriteDeadline(a.writeDeadline(time.Now()))
 	callers.EncodeAnswer(h, gw.AnswerHead{RequestID: a.RequestID, Server: a.Server, Incarnation: a.Incarnation})
 	if a.length >= 0 && a.Status != http.StatusNoContent && a.Status != http.StatusNotModified {
 		setHeader(h, "Content-Length", itoa(a.length))
 	}
 	w.WriteHeader(a.Status)
 	if !a.ended {
-		return a.stream(w)
+		return a.stream(w, rc)
 	}
 	if a.filled > 0 {
 		if _, err := w.Write(a.buffer[:a.filled]); err != nil {
@@ -192,7 +214,7 @@
 		}
 	}
 	// Without the flush net/http sends a small answer only after the handler has returned, and drops the error.
-	if err := http.NewResponseController(w).Flush(); !errors.Is(err, http.ErrNotSupported) {
+	if err := rc.Flush(); !errors.Is(err, http.ErrNotSupported) {
 		return err
 	}
 	return nil
@@ -200,10 +222,9 @@
 
 // stream copies the body to w as it arrives. A chunked answer is flushed after each read, because the server may
 // produce it slowly.
-func (a *Answer) stream(w http.ResponseWriter) error {
+func (a *Answer) stream(w http.ResponseWriter, rc *http.ResponseController) error {
 	buffer := buffers.Get().(*[bufferBytes]byte)
 	defer buffers.Put(buffer)
-	rc := http.NewResponseController(w)
 	// The head is sent before the body is read. Otherwise, if the body failed before its first byte, the caller would see
 	// a connection that was closed without an answer, and many HTTP clients resend a request in this case.
 	if err := rc.Flush(); err != nil {
--- a/internal/request/gwforward/server.go
+++ b/internal/request/gwforward/server.go
@@ -11,8 +11,9 @@
 	// idleTimeout is well above the idle timeout of connection pools, so that the pools close idle connections first. A
 	// request on a connection that the server closes at the same time has an unknown outcome.
 	idleTimeout = 75 * time.Second
-	// RefusalTimeout is the longest time for writing a refusal, which usually fits into the buffers of the connection.
-	RefusalTimeout = 5 * time.Second
+	// WriteTimeout is the longest time for writing a refusal or a complete answer, which usually fit into the buffers of
+	// the connection.
+	WriteTimeout = 5 * time.Second
 )
 
 // NewServer returns an HTTP server with the settings that the handlers of entry point and relay need. It sets no
--- a/internal/request/gwrelay/relay.go
+++ b/internal/request/gwrelay/relay.go
@@ -217,12 +217,13 @@
 	}
 	defer req.Body.Finish(rc)
 	answer, refusal := r.Deliver(in.Context(), req)
+	if answer != nil {
+		refusal = answer.CloseExpired(time.Now())
+	}
 	if refusal != nil {
 		refuse(w, rc, !req.Body.Complete(), refusal)
 		return
 	}
-	// An entry host that is paused or unreachable must not occupy a slot beyond the deadline.
-	_ = rc.SetWriteDeadline(req.Deadline)
 	if err := answer.Write(w, gwforward.NativeCallers{}); err != nil {
 		r.logCut(in, req, answer, err)
 		panic(http.ErrAbortHandler)
@@ -238,7 +239,7 @@
 	if unread {
 		gwforward.Linger(rc)
 	}
-	_ = rc.SetWriteDeadline(time.Now().Add(gwforward.RefusalTimeout))
+	_ = rc.SetWriteDeadline(time.Now().Add(gwforward.WriteTimeout))
 	gwforward.WriteRefusal(w, gwforward.NativeCallers{}, refusal)
 }
 
