geraniumworks: reload the settings on SIGHUP

What callers saw: connections that close without an answer, for all requests of a host at once, when its settings are reloaded.

Cause: the program handled SIGTERM and SIGINT only. The default action of SIGHUP ends the process, with every request that it has taken, its leases and its dispatching. During a planned stop it ended the stop.

Exit codes and the missing lines of a planned stop tell it from a stop that cuts requests.

Ruled out as the cause of these: the bound of planned stops. No host logged "requests of callers were cut off at the end of a planned stop".

Change: SIGHUP is caught until the process has ended.

--- a/cmd/geraniumworks/main.go
+++ b/cmd/geraniumworks/main.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/geraniumworks/geraniumworks/internal/process/gwhost"
+	"github.com/geraniumworks/geraniumworks/internal/process/gwlog"
 	"github.com/geraniumworks/geraniumworks/internal/process/gwsettings"
 	"github.com/geraniumworks/geraniumworks/internal/version/gwconfig"
 )
@@ -43,6 +44,8 @@
 
 	ctx    context.Context
 	stdout io.Writer
+	// hangups receives SIGHUP, which says that the settings have changed.
+	hangups <-chan os.Signal
 }
 
 // Execute implements flags.Commander.
@@ -64,16 +67,34 @@
 	}
 	// Lines are written until the host has stopped, which is later than the end of c.ctx.
 	ctx, cancel := context.WithCancel(context.Background())
-	written := make(chan error, 1)
+	written, reloadEnded := make(chan error, 1), make(chan struct{})
 	go func() { written <- log.Run(ctx) }()
+	go func() {
+		defer close(reloadEnded)
+		c.reload(ctx, host, log)
+	}()
 	err = host.Run(c.ctx)
 	cancel()
+	<-reloadEnded
 	if lerr := <-written; err == nil {
 		err = lerr
 	}
 	return err
 }
 
+// reload reads the settings again at each SIGHUP until ctx ends.
+func (c *runCommand) reload(ctx context.Context, host *gwhost.Host, log *gwlog.Log) {
+	for {
+		select {
+		case <-c.hangups:
+			settings := host.Reload(func() (gwsettings.Settings, error) { return gwsettings.Load(c.Settings, c.Overrides) })
+			log.SetLevel(settings.LogLevel())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 type checkCommand struct {
 	settingsFlags
 
@@ -95,15 +116,19 @@
 func mainCode(args []string, stdout, stderr io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	// Remains set until the process has ended, because the default action of SIGHUP ends it at once.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	parser := flags.NewNamedParser("geraniumworks", flags.HelpFlag|flags.PassDoubleDash)
 	for _, c := range []struct {
 		name, short, long string
 		command           any
 	}{
 		{
-			"run", "Run this host", "Runs this host until SIGTERM, and then stops as planned. Example:\n" +
+			"run", "Run this host", "Runs this host until SIGTERM, and then stops as planned. Reads the settings again at " +
+				"SIGHUP. Example:\n" +
 				"  geraniumworks run --settings /etc/geraniumworks/settings.json",
-			&runCommand{ctx: ctx, stdout: stdout},
+			&runCommand{ctx: ctx, stdout: stdout, hangups: hangups},
 		},
 		{
 			"check-settings", "Check settings", "Checks the settings without opening a connection. Example:\n" +
--- a/e2e/commands_test.go
+++ b/e2e/commands_test.go
@@ -206,11 +206,12 @@
 	ts.Setenv(args[0], string(host))
 }
 
-// cmdSignal sends a signal to processes: signal KILL|STOP|CONT|TERM NAME...
+// cmdSignal sends a signal to processes: signal KILL|STOP|CONT|TERM|HUP NAME...
 func cmdSignal(ts *testscript.TestScript, _ bool, args []string) {
-	usage(ts, args, 2, "signal KILL|STOP|CONT|TERM NAME...")
+	usage(ts, args, 2, "signal KILL|STOP|CONT|TERM|HUP NAME...")
 	signals := map[string]syscall.Signal{
 		"KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT, "TERM": syscall.SIGTERM,
+		"HUP": syscall.SIGHUP,
 	}
 	sig, ok := signals[args[0]]
 	if !ok {
--- a/internal/process/gwhost/backend.go
+++ b/internal/process/gwhost/backend.go
@@ -45,7 +45,7 @@
 // nativeBackend returns the clients for the project's own protocols.
 func (h *Host) nativeBackend() (Backend, error) {
 	store, err := gwstore.New(
-		gwstore.WithEndpoints(h.settings.StoreEndpoints...),
+		gwstore.WithEndpoints(h.settings.Load().StoreEndpoints...),
 		gwstore.WithReadBudget(purposeAssignment, assignmentReadsPerSecond, assignmentReadBurst),
 		gwstore.WithReadBudget(purposeConfiguration, configurationReadsPerSecond, configurationReadBurst),
 		gwstore.WithRegisterer(h.registry),
@@ -54,7 +54,7 @@
 		return Backend{}, eris.Wrap(err, "set up the store client")
 	}
 	list, err := gwhostlist.New(
-		gwhostlist.WithEndpoints(h.settings.HostListEndpoints...),
+		gwhostlist.WithEndpoints(h.settings.Load().HostListEndpoints...),
 		gwhostlist.WithRegisterer(h.registry),
 	)
 	if err != nil {
--- a/internal/process/gwhost/host.go
+++ b/internal/process/gwhost/host.go
@@ -31,7 +31,8 @@
 
 // Host is one geraniumworks process.
 type Host struct {
-	settings gwsettings.Settings
+	// settings is replaced when the process reads its settings again.
+	settings atomic.Pointer[gwsettings.Settings]
 	self     gw.HostEntry
 	instance gw.InstanceID
 	log      *slog.Logger
@@ -73,11 +74,11 @@
 // New returns a Host for validated settings. It opens no connections.
 func New(settings gwsettings.Settings, log *slog.Logger, opts ...Option) (*Host, error) {
 	h := &Host{
-		settings: settings,
 		instance: gw.InstanceID(uuid.NewString()),
 		registry: prometheus.NewRegistry(),
 		table:    gwtable.NewTable(),
 	}
+	h.settings.Store(&settings)
 	h.log = log.With(slog.String("host", string(settings.Host)), slog.String("instance", string(h.instance)))
 	h.self = gw.HostEntry{
 		Name:          settings.Host,
@@ -114,7 +115,7 @@
 // connect creates the clients for external systems and other hosts.
 func (h *Host) connect() error {
 	var err error
-	if h.tls, err = h.settings.PeerTLS(); err != nil {
+	if h.tls, err = h.settings.Load().PeerTLS(); err != nil {
 		return err
 	}
 	if h.connectBackend != nil {
--- a/internal/process/gwhost/run.go
+++ b/internal/process/gwhost/run.go
@@ -71,16 +71,17 @@
 func (h *Host) listen(ctx context.Context) (listeners, error) {
 	var l listeners
 	var config net.ListenConfig
+	addresses := h.settings.Load().Listen
 	var opened []net.Listener
 	for _, each := range []struct {
 		address string
 		to      *net.Listener
 	}{
-		{h.settings.Listen.Callers, &l.callers},
-		{h.settings.Listen.Relay, &l.relay},
-		{h.settings.Listen.Peers, &l.peers},
-		{h.settings.Listen.Operators, &l.operators},
-		{h.settings.Listen.Readiness, &l.readiness},
+		{addresses.Callers, &l.callers},
+		{addresses.Relay, &l.relay},
+		{addresses.Peers, &l.peers},
+		{addresses.Operators, &l.operators},
+		{addresses.Readiness, &l.readiness},
 	} {
 		if each.address == "" {
 			continue
--- a/internal/process/gwhost/stop.go
+++ b/internal/process/gwhost/stop.go
@@ -28,7 +28,8 @@
 // stop hands over the roles of this process and finishes running requests within the time that the settings allow. The
 // process reports at once that it is not ready, but accepts requests until the balancer has had time to notice.
 func (h *Host) stop() {
-	deadline := time.Now().Add(time.Duration(h.settings.StopMilliseconds) * time.Millisecond)
+	settings := h.settings.Load()
+	deadline := time.Now().Add(time.Duration(settings.StopMilliseconds) * time.Millisecond)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	h.stopping.Store(true)
@@ -39,7 +40,7 @@
 	}
 	handedOver := make(chan error, 1)
 	go func() { handedOver <- h.control.Stop(ctx) }()
-	gwtimer.Sleep(ctx, time.Duration(h.settings.DrainMilliseconds)*time.Millisecond)
+	gwtimer.Sleep(ctx, time.Duration(settings.DrainMilliseconds)*time.Millisecond)
 	h.entry.Stop()
 	if err := h.entry.Wait(ctx); err != nil {
 		h.log.Warn("requests of callers were cut off at the end of a planned stop", "error", err)
--- a/internal/process/gwlog/log.go
+++ b/internal/process/gwlog/log.go
@@ -39,6 +39,7 @@
 
 type state struct {
 	out   io.Writer
+	level slog.LevelVar
 	lines chan []byte
 	// stopping is closed when the writer must end once the queue is empty.
 	stopping     chan struct{}
@@ -60,7 +61,8 @@
 			Name: "geraniumworks_log_lines_left_out_total", Help: "Log lines that were not written, by message.",
 		}, []string{"message"}),
 	}
-	options := &slog.HandlerOptions{Level: level}
+	s.level.Set(level)
+	options := &slog.HandlerOptions{Level: &s.level}
 	if asText {
 		return &Log{inner: slog.NewTextHandler(queue{s}, options), state: s}
 	}
@@ -72,6 +74,11 @@
 	return l.leftOutTotal
 }
 
+// SetLevel changes the lowest level of the lines that are written.
+func (l *Log) SetLevel(level slog.Level) {
+	l.level.Set(level)
+}
+
 // Enabled implements slog.Handler.
 func (l *Log) Enabled(ctx context.Context, level slog.Level) bool {
 	return l.inner.Enabled(ctx, level)
--- a/internal/process/gwlog/log_test.go
+++ b/internal/process/gwlog/log_test.go
@@ -85,6 +85,21 @@
 	require.Contains(t, text, `"host":"h1"`)
 }
 
+// Guards against a level that is reloaded and has no effect on loggers that exist already.
+func TestLevelChangesForExistingLoggers(t *testing.T) {
+	out := &lockedBuffer{}
+	l := gwlog.New(out, slog.LevelInfo, false)
+	stop := run(t, l)
+	log := slog.New(l).With("host", "h1")
+	l.SetLevel(slog.LevelError)
+	log.Info("left out")
+	l.SetLevel(slog.LevelDebug)
+	log.Debug("written")
+	stop()
+	require.NotContains(t, out.String(), "left out")
+	require.Contains(t, out.String(), "written")
+}
+
 // BenchmarkLeftOut measures the cost of logging a line over the limit.
 func BenchmarkLeftOut(b *testing.B) {
 	log := slog.New(gwlog.New(io.Discard, slog.LevelInfo, false))
--- a/internal/process/gwsettings/logger.go
+++ b/internal/process/gwsettings/logger.go
@@ -9,8 +9,12 @@
 
 // NewLog returns a log with the level and format of the settings that writes to w.
 func (s Settings) NewLog(w io.Writer) *gwlog.Log {
-	levels := map[string]slog.Level{
+	return gwlog.New(w, s.LogLevel(), s.Log.Format != "json")
+}
+
+// LogLevel returns the lowest level of the log lines that are written.
+func (s Settings) LogLevel() slog.Level {
+	return map[string]slog.Level{
 		"debug": slog.LevelDebug, "info": slog.LevelInfo, "warn": slog.LevelWarn, "error": slog.LevelError,
-	}
-	return gwlog.New(w, levels[s.Log.Level], s.Log.Format != "json")
+	}[s.Log.Level]
 }
--- a/internal/process/gwsettings/settings.go
+++ b/internal/process/gwsettings/settings.go
@@ -19,7 +19,8 @@
 // ErrNoAuthority is returned for an authority file without a certificate.
 var ErrNoAuthority = errors.New("file holds no certificate")
 
-// Settings are the settings of one process. They are read once at start.
+// Settings are the settings of one process. They are read at start, and again when the process gets SIGHUP, see
+// WithReloaded.
 type Settings struct {
 	Host       gw.HostName       `json:"host"`
 	Region     gw.RegionName     `json:"region"`
