geraniumworks: go on when nobody reads the log

Cause: as with SIGHUP, the default action of a signal. Go ends the process with SIGPIPE when a write to standard output finds no reader, so the loss of a log collector cut off all requests of the host.

Of the signals that the platform or a lost neighbour sends, SIGTERM, SIGINT, SIGHUP and SIGPIPE are handled now; SIGQUIT, SIGUSR1 and SIGUSR2 keep their default, since nothing sends them.

Change: SIGPIPE is ignored; the write fails, and the log drops its lines.

--- a/cmd/geraniumworks/main.go
+++ b/cmd/geraniumworks/main.go
@@ -119,6 +119,8 @@
 	// Remains set until the process has ended, because the default action of SIGHUP ends it at once.
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
+	// Otherwise a write to standard output or standard error ends the process when nobody reads it.
+	signal.Ignore(syscall.SIGPIPE)
 	parser := flags.NewNamedParser("geraniumworks", flags.HelpFlag|flags.PassDoubleDash)
 	for _, c := range []struct {
 		name, short, long string
