entry: answer the requests that outlast a planned stop

What callers would see: a connection that closes without an answer, when a request is still running, waiting or arriving at the end of a planned stop.

Cause: the stop waits until its bound of 5.5 s and then closes what is left; the platform kills the process at 6 s. Requests that wait for a slot or whose body is still arriving could be refused truthfully, and the others can be told that their outcome is unknown.

Change: 150 ms before the bound all running requests end. Those that were not sent are refused with not-run, the others get an unknown outcome.

--- a/internal/process/gwhost/stop.go
+++ b/internal/process/gwhost/stop.go
@@ -12,6 +12,9 @@
 // leasePollInterval is the time between checks for remaining dispatch leases during a planned stop.
 const leasePollInterval = 50 * time.Millisecond
 
+// endAllowance is the part of the time for a planned stop in which requests that are still running get an answer.
+const endAllowance = 150 * time.Millisecond
+
 // addStop adds the actor that ends the process: it waits until ctx ends, and then performs the planned stop. When
 // another actor ends first, it returns without a planned stop.
 func (h *Host) addStop(ctx context.Context, group *run.Group) {
@@ -41,10 +44,7 @@
 	handedOver := make(chan error, 1)
 	go func() { handedOver <- h.control.Stop(ctx) }()
 	gwtimer.Sleep(ctx, time.Duration(settings.DrainMilliseconds)*time.Millisecond)
-	h.entry.Stop()
-	if err := h.entry.Wait(ctx); err != nil {
-		h.log.Warn("requests of callers were cut off at the end of a planned stop", "error", err)
-	}
+	h.finishRequests(ctx, deadline)
 	if err := <-handedOver; err != nil {
 		h.log.Warn("cells were not handed over in time", "error", err)
 	}
@@ -55,6 +55,22 @@
 	}
 }
 
+// finishRequests refuses new requests of callers and waits for those that are running. Shortly before the deadline it
+// answers the rest.
+func (h *Host) finishRequests(ctx context.Context, deadline time.Time) {
+	h.entry.Stop()
+	running, cancel := context.WithDeadline(ctx, deadline.Add(-endAllowance))
+	defer cancel()
+	if h.entry.Wait(running) == nil {
+		return
+	}
+	h.log.Warn("requests of callers outlast the planned stop and are answered without their servers")
+	h.entry.End()
+	if err := h.entry.Wait(ctx); err != nil {
+		h.log.Warn("requests of callers were cut off at the end of a planned stop", "error", err)
+	}
+}
+
 // waitReassigned waits until controllers have assigned the servers of this dispatcher to other hosts.
 func (h *Host) waitReassigned(ctx context.Context) {
 	for h.dispatcher.Leased() > 0 {
--- a/internal/request/gwentry/call.go
+++ b/internal/request/gwentry/call.go
@@ -182,6 +182,7 @@
 	}
 	// Writers without deadline support occur in tests only and have no slow caller.
 	_ = c.rc.SetReadDeadline(c.deadline)
+	defer context.AfterFunc(c.handler.ending, func() { _ = c.rc.SetReadDeadline(time.Now()) })()
 	var err error
 	mode := gwforward.HalfDuplex
 	if c.route.Kind == gw.RouteByMethod {
@@ -192,6 +193,8 @@
 	case err == nil:
 	case errors.Is(err, gwforward.ErrBodyTooLarge):
 		return gw.Refuse(gw.ReasonBodyTooLarge, "the request body is larger than the service permits")
+	case c.handler.ending.Err() != nil:
+		return gw.Refuse(gw.ReasonStopping, "this host is stopping and the request body has not arrived")
 	case !time.Now().Before(c.deadline):
 		return gw.Refuse(gw.ReasonDeadlineTooShort, "the request body did not arrive before the deadline")
 	default:
--- a/internal/request/gwentry/handler.go
+++ b/internal/request/gwentry/handler.go
@@ -22,10 +22,13 @@
 
 // Handler serves the requests of callers.
 type Handler struct {
-	opts  Options
-	echo  *echo.Echo
-	gate  gwforward.Gate
-	index atomic.Pointer[configIndex]
+	opts Options
+	echo *echo.Echo
+	gate gwforward.Gate
+	// ending ends when the running requests must be answered at once.
+	ending context.Context
+	end    context.CancelFunc
+	index  atomic.Pointer[configIndex]
 	// callerTimeouts estimates how long requests have been under way before they arrived here.
 	callerTimeouts callerTimeouts
 	splitter       *gwsplit.Splitter
@@ -48,8 +51,11 @@
 	if o.Policy == nil {
 		o.Policy = gwretry.New()
 	}
+	ending, end := context.WithCancel(context.Background())
 	h := &Handler{
 		opts:     o,
+		ending:   ending,
+		end:      end,
 		echo:     echo.New(),
 		splitter: gwsplit.New(),
 		results: promauto.With(o.Registerer).NewCounterVec(prometheus.CounterOpts{
@@ -74,6 +80,12 @@
 	h.gate.Stop()
 }
 
+// End ends all running requests: those that have not been sent are refused, the others get an answer that says that
+// their outcome is unknown. It must be called after Stop.
+func (h *Handler) End() {
+	h.end()
+}
+
 // Wait waits until no request is running. It returns the error of ctx when ctx ends first.
 func (h *Handler) Wait(ctx context.Context) error {
 	return h.gate.Wait(ctx)
@@ -124,6 +136,7 @@
 	}
 	ctx, cancel := context.WithDeadline(c.in.Context(), c.deadline)
 	defer cancel()
+	defer context.AfterFunc(h.ending, cancel)()
 	defer c.finish()
 	c.retries = h.opts.Policy.Service(c.service.Name)
 	c.retries.AddRequest(c.service.Limits)
