--- a/internal/process/gwhost/run.go
+++ b/internal/process/gwhost/run.go
@@ -106,7 +106,7 @@
 }
 
 func (h *Host) addPeers(group *run.Group, listener net.Listener) {
-	options := []gwpeer.ServerOption{gwpeer.WithServerRegisterer(h.registry)}
+	options := []gwpeer.ServerOption{gwpeer.WithServerRegisterer(h.registry), gwpeer.WithServerLogger(h.log)}
 	if h.tls != nil {
 		options = append(options, gwpeer.WithServerTLS(h.tls))
 	}
