entry: see errors of the last flush of an answer

Cause: the entry host writes through echo's Response, whose Flush has no error, so an answer that could not be written was neither logged nor counted as cut there.

Change: the handler uses the writer below.

Test: TestAnswerThatCannotBeWrittenIsLogged, with a connection on which nothing can be written; before: "" does not contain "answer was cut off", through a relay and locally.

--- a/internal/request/gwentry/fakes_test.go
+++ b/internal/request/gwentry/fakes_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -138,6 +139,7 @@
 	relay string
 	// idle is the idle timeout of pooled connections in milliseconds.
 	idle int64
+	log  *slog.Logger
 }
 
 func testConfig(s setup) gw.Config {
@@ -168,6 +170,9 @@
 
 func newSystem(t testing.TB, s setup) *system {
 	t.Helper()
+	if s.log == nil {
+		s.log = slog.New(slog.DiscardHandler)
+	}
 	idle := s.idle
 	if idle == 0 {
 		idle = gwpool.DefaultIdleMilliseconds
@@ -183,7 +188,7 @@
 	forwarder := gwforward.New(gwforward.WithPool(sys.pool))
 	sys.relay = gwrelay.New(
 		gwrelay.WithConfig(config), gwrelay.WithDispatcher(sys.dispatcher), gwrelay.WithForwarder(forwarder),
-		gwrelay.WithRegion("holland"),
+		gwrelay.WithRegion("holland"), gwrelay.WithLogger(s.log),
 	)
 	relay := start(t, gwforward.NewServer(sys.relay, 64<<10))
 	relayAddress := relay.Listener.Addr().String()
@@ -209,7 +214,7 @@
 	sys.entry = gwentry.New(
 		gwentry.WithConfig(config), gwentry.WithRouter(sys.router), gwentry.WithRegion("holland"),
 		gwentry.WithLocal(sys.relay), gwentry.WithForwarder(forwarder),
-		gwentry.WithPolicy(gwretry.New()),
+		gwentry.WithPolicy(gwretry.New()), gwentry.WithLogger(s.log),
 	)
 	sys.server = start(t, gwforward.NewServer(sys.entry, gwentry.DefaultHeaderBytes))
 	sys.url = sys.server.URL
--- a/internal/request/gwentry/fault_test.go
+++ b/internal/request/gwentry/fault_test.go
@@ -5,16 +5,19 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	gw "github.com/geraniumworks/geraniumworks"
+	"github.com/geraniumworks/geraniumworks/internal/request/gwentry"
 	"github.com/geraniumworks/geraniumworks/internal/request/gwforward"
 )
 
@@ -352,6 +355,41 @@
 	require.NoError(t, sys.relay.Wait(ctx))
 }
 
+// brokenListener accepts connections on which nothing can be written.
+type brokenListener struct{ net.Listener }
+
+type brokenConn struct{ net.Conn }
+
+func (l brokenListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return brokenConn{conn}, err
+}
+
+func (brokenConn) Write([]byte) (int, error) { return 0, syscall.EPIPE }
+
+// Guards against an answer that never left the entry host and is missing in its log.
+func TestAnswerThatCannotBeWrittenIsLogged(t *testing.T) {
+	server := echoServer(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole body") })
+	viaRelayAndLocal(t, func(t *testing.T, local bool) {
+		var lines strings.Builder
+		sys := newSystem(t, setup{
+			local: local, servers: map[gw.ServerName]string{"s1": server}, log: slog.New(slog.NewTextHandler(&lines, nil)),
+		})
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		callers := gwforward.NewServer(sys.entry, gwentry.DefaultHeaderBytes)
+		ended := make(chan error, 1)
+		go func() { ended <- callers.Serve(brokenListener{l}) }()
+		sys.url = "http://" + l.Addr().String()
+		require.Error(t, sys.do(http.MethodPost, "/claims/1", nil).err)
+		sys.entry.Stop()
+		require.NoError(t, sys.entry.Wait(t.Context()))
+		require.NoError(t, callers.Close())
+		require.ErrorIs(t, <-ended, http.ErrServerClosed)
+		require.Contains(t, lines.String(), "answer was cut off")
+	})
+}
+
 // Guards against an answer that arrives in time, is passed on after the deadline, and is dropped with the connection.
 func TestAnswerAtDeadlineIsDelivered(t *testing.T) {
 	const deadline = 200 * time.Millisecond
--- a/internal/request/gwentry/handler.go
+++ b/internal/request/gwentry/handler.go
@@ -94,7 +94,8 @@
 // Serve handles one request. When an answer is cut off after its head was passed on, Serve panics with
 // http.ErrAbortHandler, which must reach the HTTP server.
 func (h *Handler) Serve(ec echo.Context) error {
-	w, r := ec.Response(), ec.Request()
+	// The writer of echo does not report errors of a flush.
+	w, r := ec.Response().Writer, ec.Request()
 	rc := http.NewResponseController(w)
 	// Clears the write deadline that an earlier request on the connection has set. Writers without deadline support occur
 	// in tests only and have no slow caller.
