entry: finish streamed answers during a planned stop

What callers would see: an answer that breaks off in the middle at the end of a planned stop, though its server and its connection are fine.

Cause: the end of the requests that outlast a stop cancelled those whose answer was on its way too. These cannot be answered otherwise any more, so it only took time from them.

Change: a request of which an answer has begun goes on until the process ends.

Test: TestStreamedAnswerIsFinishedDuringAStop; before: unexpected EOF, through a relay and locally.

--- a/internal/request/gwentry/handler.go
+++ b/internal/request/gwentry/handler.go
@@ -80,8 +80,8 @@
 	h.gate.Stop()
 }
 
-// End ends all running requests: those that have not been sent are refused, the others get an answer that says that
-// their outcome is unknown. It must be called after Stop.
+// End ends the running requests of which no answer has arrived: those that have not been sent are refused, the others
+// get an answer that says that their outcome is unknown. It must be called after Stop.
 func (h *Handler) End() {
 	h.end()
 }
@@ -137,11 +137,16 @@
 	}
 	ctx, cancel := context.WithDeadline(c.in.Context(), c.deadline)
 	defer cancel()
-	defer context.AfterFunc(h.ending, cancel)()
+	detach := context.AfterFunc(h.ending, cancel)
+	defer detach()
 	defer c.finish()
 	c.retries = h.opts.Policy.Service(c.service.Name)
 	c.retries.AddRequest(c.service.Limits)
 	answer, refusal := c.run(ctx)
+	if answer != nil {
+		// An answer whose head has arrived cannot be replaced any more.
+		detach()
+	}
 	if answer != nil && !c.in.ProtoAtLeast(1, 1) && !answer.LengthKnown() {
 		// In HTTP/1.0 such an answer ends when the connection closes, so that a cut could not be told from its end.
 		answer.Close()
--- a/internal/request/gwentry/stop_test.go
+++ b/internal/request/gwentry/stop_test.go
@@ -43,6 +43,32 @@
 	})
 }
 
+// Guards against a planned stop that cuts off an answer whose head has been passed on already.
+func TestStreamedAnswerIsFinishedDuringAStop(t *testing.T) {
+	viaRelayAndLocal(t, func(t *testing.T, local bool) {
+		release := make(chan struct{})
+		server := echoServer(t, func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "first")
+			_ = http.NewResponseController(w).Flush()
+			<-release
+			_, _ = io.WriteString(w, "second")
+		})
+		sys := newSystem(t, setup{local: local, servers: map[gw.ServerName]string{"s1": server}})
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, sys.url+"/claims/1", nil)
+		require.NoError(t, err)
+		r.Header.Set(gw.HeaderTenant, "harbour")
+		resp, err := sys.client.Do(r)
+		require.NoError(t, err)
+		defer func() { require.NoError(t, resp.Body.Close()) }()
+		sys.entry.Stop()
+		sys.entry.End()
+		time.AfterFunc(50*time.Millisecond, func() { close(release) })
+		data, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		require.Equal(t, "firstsecond", string(data))
+	})
+}
+
 // Guards against a planned stop that closes the connection of a request whose body is still arriving.
 func TestBodyThatOutlastsAStopIsRefused(t *testing.T) {
 	sys := newSystem(t, setup{local: true})
