relay, forward: tests of answers at the deadline

Without the change of the write deadline TestAnswerAtDeadlineIsPassedOn fails with EOF, without the refusal TestAnswerThatIsLateIsReplacedByARefusal with "Expected value not to be nil".

--- a/internal/request/gwforward/write_test.go
+++ b/internal/request/gwforward/write_test.go
@@ -23,11 +23,16 @@
 
 func (closedWriter) FlushError() error { return errClosed }
 
-// receiveAnswer sends a request to a server of its own and returns the answer.
-func receiveAnswer(t *testing.T, deadline time.Time) *gwforward.Answer {
+// receiveAnswer sends a request to a server of its own and returns the answer. The server waits for release, unless it
+// is nil, between the head of a chunked answer and its body.
+func receiveAnswer(t *testing.T, deadline time.Time, release <-chan struct{}) *gwforward.Answer {
 	t.Helper()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set(gw.HeaderRequestID, r.Header.Get(gw.HeaderRequestID))
+		if release != nil {
+			_ = http.NewResponseController(w).Flush()
+			<-release
+		}
 		_, _ = io.WriteString(w, "whole body")
 	}))
 	t.Cleanup(server.Close)
@@ -43,7 +48,23 @@
 
 // Guards against an answer that never left the host and is neither logged nor counted as cut off.
 func TestAnswerThatCannotBeSentIsReported(t *testing.T) {
-	answer := receiveAnswer(t, time.Now().Add(time.Minute))
+	answer := receiveAnswer(t, time.Now().Add(time.Minute), nil)
 	err := answer.Write(closedWriter{httptest.NewRecorder()}, gwforward.NativeCallers{})
 	require.ErrorIs(t, err, errClosed)
 }
+
+// Guards against a connection that is closed without an answer because the deadline has passed before the body arrived.
+func TestAnswerThatIsLateIsReplacedByARefusal(t *testing.T) {
+	release := make(chan struct{})
+	deadline := time.Now().Add(time.Minute)
+	answer := receiveAnswer(t, deadline, release)
+	defer close(release)
+	require.Nil(t, answer.CloseExpired(deadline.Add(-time.Second)))
+	refusal := answer.CloseExpired(deadline)
+	require.NotNil(t, refusal)
+	require.Equal(t, gw.ReasonDeadlineExceeded, refusal.Reason)
+	require.False(t, answer.Streamed())
+
+	answer = receiveAnswer(t, deadline, nil)
+	require.Nil(t, answer.CloseExpired(deadline), "a complete answer is delivered")
+}
--- a/internal/request/gwrelay/relay_test.go
+++ b/internal/request/gwrelay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -27,6 +28,9 @@
 	// sendBefore is the time until which requests may be sent, one hour from now when it is zero.
 	sendBefore time.Time
 
+	// doneDelay is how long the end of an attempt takes.
+	doneDelay time.Duration
+
 	mu      sync.Mutex
 	asked   []gw.SlotRequest
 	results []gw.AttemptResult
@@ -49,6 +53,7 @@
 }
 
 func (d *singleServerDispatcher) Done(result gw.AttemptResult) {
+	time.Sleep(d.doneDelay)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.results = append(d.results, result)
@@ -252,3 +257,24 @@
 	require.Equal(t, gw.OutcomeUnknown, d.results[1].Outcome)
 	require.Zero(t, d.results[1].End, "the server may still run the request")
 }
+
+// Guards against an answer that the dispatcher has in time and drops with the connection at the deadline.
+func TestAnswerAtDeadlineIsPassedOn(t *testing.T) {
+	relay, d, _ := newRelay(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(gw.HeaderRequestID, r.Header.Get(gw.HeaderRequestID))
+		_, _ = w.Write([]byte("whole body"))
+	})
+	d.doneDelay = 150 * time.Millisecond
+	s := httptest.NewServer(relay)
+	t.Cleanup(s.Close)
+	r := relayRequest("", gw.HeaderTimeout, "", gw.HeaderTimeout, "100")
+	out, err := http.NewRequestWithContext(t.Context(), r.Method, s.URL+r.URL.Path, nil)
+	require.NoError(t, err)
+	out.Header = r.Header
+	resp, err := s.Client().Do(out)
+	require.NoError(t, err)
+	defer func() { require.NoError(t, resp.Body.Close()) }()
+	data, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.Equal(t, "whole body", string(data))
+}
