gwhost: connections without a request do not delay a planned stop

Cause: the servers for HTTP shut down one after the other, for up to 2 s each, and a connection on which nothing was sent counts as busy for 5 s. A planned stop that is bounded by 5.5 s could take until the platform kills the process at 6 s, which cuts what still runs for other hosts. Beside that, a dispatcher whose servers nobody takes over waited for it until the bound and then cut the requests of other hosts at once.

Change: the servers shut down at the same time, within 300 ms. The wait for other dispatchers ends 500 ms before the bound.

Test: TestSilentConnectionsDoNotDelayTheStop; before: "5.115784804s" is not less than "1s".

--- a/internal/process/gwhost/listener_test.go
+++ b/internal/process/gwhost/listener_test.go
@@ -55,3 +55,26 @@
 	cancel()
 	require.NoError(t, <-ended)
 }
+
+// Guards against a planned stop that takes longer than the platform waits, because of connections on which nothing was
+// sent.
+func TestSilentConnectionsDoNotDelayTheStop(t *testing.T) {
+	h := &Host{log: slog.New(slog.DiscardHandler)}
+	var group run.Group
+	for range 4 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		h.addHTTP(&group, l, http.NotFoundHandler(), 1<<10)
+		conn, err := net.Dial("tcp", l.Addr().String())
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+	}
+	var began time.Time
+	group.Add(func() error {
+		time.Sleep(100 * time.Millisecond)
+		began = time.Now()
+		return nil
+	}, func(error) {})
+	require.NoError(t, group.Run())
+	require.Less(t, time.Since(began), time.Second)
+}
--- a/internal/process/gwhost/run.go
+++ b/internal/process/gwhost/run.go
@@ -20,8 +20,9 @@
 	// relayHeaderBytes limits the header of a request between hosts. It is above the limit for callers, since entry hosts
 	// add headers. The operators' listeners have the same limit.
 	relayHeaderBytes = 64 << 10
-	// closeTimeout limits the graceful shutdown of an HTTP server after a planned stop; remaining connections are closed.
-	closeTimeout = 2 * time.Second
+	// closeTimeout limits the graceful shutdown of the HTTP servers after a planned stop, before the platform kills the
+	// process; remaining connections are closed.
+	closeTimeout = 300 * time.Millisecond
 )
 
 // Run serves until ctx ends, and then performs a planned stop: it hands over its roles to other hosts and finishes
@@ -117,20 +118,31 @@
 
 func (h *Host) addHTTP(group *run.Group, listener net.Listener, handler http.Handler, headerBytes int) {
 	server := gwforward.NewServer(handler, headerBytes)
+	closed := make(chan struct{})
 	group.Add(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			return eris.Wrapf(err, "serve on %s", listener.Addr())
 		}
+		<-closed
 		return nil
 	}, func(error) {
-		ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
-		defer cancel()
-		if err := server.Shutdown(ctx); err != nil {
-			_ = server.Close()
-		}
+		// The group interrupts one actor after the other; the servers of a host shut down at the same time.
+		go func() {
+			defer close(closed)
+			shutDown(server)
+		}()
 	})
 }
 
+// shutDown closes a server once its requests have ended, after closeTimeout at the latest.
+func shutDown(server *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		_ = server.Close()
+	}
+}
+
 // readinessHandler answers every request with status 200 while the balancer should send callers to this host, and with
 // 503 otherwise.
 func (h *Host) readinessHandler() http.Handler {
--- a/internal/process/gwhost/stop.go
+++ b/internal/process/gwhost/stop.go
@@ -12,6 +12,10 @@
 // leasePollInterval is the time between checks for remaining dispatch leases during a planned stop.
 const leasePollInterval = 50 * time.Millisecond
 
+// relayAllowance is the part of the time for a planned stop that is left for running requests of other hosts, when
+// controllers do not assign the servers of this dispatcher to other hosts.
+const relayAllowance = 500 * time.Millisecond
+
 // endAllowance is the part of the time for a planned stop in which requests that are still running get an answer.
 const endAllowance = 150 * time.Millisecond
 
@@ -48,7 +52,9 @@
 	if err := <-handedOver; err != nil {
 		h.log.Warn("cells were not handed over in time", "error", err)
 	}
-	h.waitReassigned(ctx)
+	reassigned, cancelWait := context.WithDeadline(ctx, deadline.Add(-relayAllowance))
+	defer cancelWait()
+	h.waitReassigned(reassigned)
 	h.relay.Stop()
 	if err := h.relay.Wait(ctx); err != nil {
 		h.log.Warn("requests of other hosts were cut off at the end of a planned stop", "error", err)
