platform: configurations after a restore of the store

Cause: the copy of the operators' items keeps the highest revision that it has seen. The restored store counts from a lower one. The watch from a revision that it does not have gets 410, and the reading that follows does not lower the revision of the copy, so the host reads again and again, until the revisions have caught up. Each configuration has the revision of the copy as its version, and the feed passes on only higher versions, so a configuration that was read was not in force either.

Configurations are ordered by the operators' number first: an older document does not replace a newer one, in this process or through the feed; evacuations beside it count. The records of this program keep bare revisions here.

gw.ConfigSource.Next takes an ItemVersion, since a version alone does not order configurations any more.

--- a/config.go
+++ b/config.go
@@ -194,6 +194,9 @@
 // Config is the configuration in force, one immutable version of it.
 type Config struct {
 	Version ConfigVersion `json:"version"`
+	// Number is the operators' own number of the configuration, zero when they give none. It goes before Version, which
+	// may rise without a newer configuration when the source was restored from an older copy.
+	Number uint64 `json:"number,omitempty"`
 	// Label is the operators' own name of the version, for logs.
 	Label        string         `json:"label,omitempty"`
 	Callers      CallerLimits   `json:"callers,omitzero"`
@@ -238,6 +241,11 @@
 	return slices.ContainsFunc(c.OutOfService, func(o OutOfService) bool { return o.Kind == kind && o.Name == name })
 }
 
+// ItemVersion returns the version by which configurations are ordered.
+func (c Config) ItemVersion() ItemVersion {
+	return ItemVersion{Epoch: c.Number, Sequence: uint64(c.Version)}
+}
+
 // WithVersion returns a copy with the version.
 func (c Config) WithVersion(v ConfigVersion) Config {
 	c.Version = v
--- a/internal/process/gwhost/backend.go
+++ b/internal/process/gwhost/backend.go
@@ -114,7 +114,7 @@
 
 // Next implements gwfeed.Source.
 func (s directSource) Next(ctx context.Context, have map[gw.Topic]gw.ItemVersion) ([]gw.Item, error) {
-	cfg, err := s.configs.Next(ctx, gw.ConfigVersion(have[gwtable.TopicConfig].Sequence))
+	cfg, err := s.configs.Next(ctx, have[gwtable.TopicConfig])
 	if err != nil {
 		return nil, err
 	}
--- a/internal/process/gwhost/host.go
+++ b/internal/process/gwhost/host.go
@@ -232,7 +232,8 @@
 		h.dispatcher.SetConfig(cfg)
 		h.admitter.SetConfig(cfg)
 		h.outOfService.update(cfg)
-		h.log.Info("configuration in force", slog.Uint64("version", uint64(cfg.Version)))
+		h.log.Info("configuration in force", slog.Uint64("version", uint64(cfg.Version)),
+			slog.String("label", cfg.Label))
 	}
 	return nil
 }
--- a/internal/version/gwtable/state.go
+++ b/internal/version/gwtable/state.go
@@ -29,7 +29,7 @@
 
 // ConfigItem returns the item of a configuration.
 func ConfigItem(cfg gw.Config) (gw.Item, error) {
-	return gw.NewItem(TopicConfig, gw.ItemVersion{Sequence: uint64(cfg.Version)}, cfg)
+	return gw.NewItem(TopicConfig, cfg.ItemVersion(), cfg)
 }
 
 // Record is an assignment with its version in the store, so that a controller that receives it from another one
--- a/store.go
+++ b/store.go
@@ -39,6 +39,6 @@
 type ConfigSource interface {
 	// Current returns the configuration in force. It waits for the first one until ctx ends.
 	Current(ctx context.Context) (Config, error)
-	// Next waits for a configuration with a version above after, or for the end of ctx.
-	Next(ctx context.Context, after ConfigVersion) (Config, error)
+	// Next waits for a configuration that is newer than after, or for the end of ctx.
+	Next(ctx context.Context, after ItemVersion) (Config, error)
 }
