platform: versions of records rise across a restore of the store

Callers would see: a record that is replaced by a write that expected another value. Found by reading.

A restored store gives out revisions again, so that a compare-and-swap with a version from before the restore may succeed, and what is read after the restore has lower versions than what was read before.

A compare-and-swap with a version of an earlier era fails with gw.ErrConflict without a call. A success in another era than the one in which it was sent fails with gw.ErrWriteUnknown, so that the caller reads again. The doc comment of gw.Store states this.

Not covered: a host that has not heard of the restore, and whose expected revision the store has given out again for the same key, replaces the other value; it learns so from the answer only. The store offers no condition on the era.

--- a/store.go
+++ b/store.go
@@ -17,6 +17,12 @@
 
 // Store is the platform's linearizable key-value store.
 //
+// The platform may restore it from a copy some seconds old; only then does it lose what it has acknowledged. The
+// version of a key rises with each change, also across a restore: what Get, List and Watch return after one has higher
+// versions than anything before, even if the value is older. CompareAndSwap with a version from before a restore fails
+// with ErrConflict, as a *ConflictError if the current value is known. It fails with ErrWriteUnknown if the store was
+// restored during the call.
+//
 // Every method fails with ErrStoreUnavailable when the call had no effect, and with the error of ctx when
 // ctx ends first.
 type Store interface {
