gwlease: ownership stays exclusive when the store is restored from an older copy

What callers would see: the store comes back from a copy some seconds old. A controller adopts the older record, grants ranges to their former owners and gives out revisions, tokens and epochs again. Two servers may hold a key, or servers refuse the lower tokens and the keys are not served. When the copy has no record at all, nothing is committed any more.

Cause: the decisions took a higher version in the store as proof of a newer record, and Revision+1 and Epoch+1 as numbers that were never given out. A read that found no record was ignored while one was known, and was repeated at once without end.

Revisions and epochs of an era are above all of earlier ones. What the store has lost and a Core knows is written back. The owner of a range whose token is of an earlier era is uncertain: only the server to which this controller had granted it keeps it, under the same token, and it is not moved. A commit raises the token once that server has accepted the earlier token again, or when all authority and holds from before have ended.

Why it works: an accepted earlier token proves that no controller whose commit is lost has reached the server, and such a controller moves nothing off a server that it has not reached. Without the proof, owners stay as they are until nothing granted before can be live.

Tests: restores, lost commits and a paused controller that the copy names again are faults of the property test. The check that each revision follows the one before is as strict within an era, and the first of an era must be above all that were ever committed.

Ranges of a controller that is lost around the restore, of servers that restart or are silent then, and of an unanswered commit are unserved for up to 24 s.

--- a/internal/process/gwlease/commit.go
+++ b/internal/process/gwlease/commit.go
@@ -12,6 +12,12 @@
 	expected gw.StoreVersion
 	next     gw.Assignment
 	takeover bool
+	// creates is set when the store has no record.
+	creates bool
+	// noEffect is set when the store has not applied the last attempt and never will. unanswered is set when that is not
+	// known of an earlier attempt.
+	noEffect   bool
+	unanswered bool
 	// outcomeUnknown is set when the answer was lost. The store may still apply the write until the record has
 	// another version, so the write is repeated unchanged until then.
 	outcomeUnknown bool
@@ -22,16 +28,23 @@
 }
 
 func (c *Core) startWrite(next gw.Assignment, takeover bool, events []Event) {
-	next = next.WithRevision(c.record.assignment.Revision+1, c.opts.writeIDs())
-	c.write = &write{expected: c.record.version, next: next, takeover: takeover, events: events}
+	next = next.WithRevision(c.nextRevision(), c.opts.writeIDs())
+	c.write = &write{
+		expected: c.record.version, next: next, takeover: takeover, creates: c.record.absent, events: events,
+	}
 	c.sendWrite()
 }
 
 func (c *Core) sendWrite() {
 	r := c.newRequest(requestCommit, c.opts.timing.StoreTimeout)
+	c.write.unanswered = c.write.unanswered || c.write.id > 0 && !c.write.noEffect
 	c.write.id = r.id
-	c.write.outcomeUnknown = false
-	c.emit(CommitAssignment{ID: r.id, Expected: c.write.expected, Next: c.write.next})
+	c.write.outcomeUnknown, c.write.noEffect = false, false
+	expected := c.write.expected
+	if c.write.creates {
+		expected = 0
+	}
+	c.emit(CommitAssignment{ID: r.id, Expected: expected, Next: c.write.next})
 }
 
 // resolveWrite repeats a write of unknown outcome after a read has shown that it is not applied yet.
@@ -95,6 +108,7 @@
 		c.reliefEpoch = 0
 		if current {
 			c.write.outcomeUnknown = true
+			c.write.noEffect = errors.Is(in.Err, gw.ErrStoreUnavailable)
 		}
 	}
 }
@@ -106,6 +120,7 @@
 	if !current {
 		return
 	}
+	c.write.noEffect = true
 	c.event(Event{Kind: EventCommitConflict, Detail: c.write.next.WriteID})
 	c.throttle.conflicted(c.now)
 	if c.record.version == c.write.expected {
--- a/internal/process/gwlease/control.go
+++ b/internal/process/gwlease/control.go
@@ -80,7 +80,7 @@
 // extendAuthority extends the authority after an answer that showed this Core as the recorded controller.
 func (c *Core) extendAuthority(r *request) {
 	cell, ok := c.recordedCell()
-	if !c.controls() || !ok || cell.Controller != c.opts.instance || cell.Epoch != c.control.epoch {
+	if !c.controls() || c.record.unwritten || !ok || cell.Controller != c.opts.instance || cell.Epoch != c.control.epoch {
 		return
 	}
 	c.control.confirmedID = max(c.control.confirmedID, r.id)
@@ -137,6 +137,7 @@
 	c.control.startID = c.lastRequestID
 	c.control.neededID = 0
 	c.raiseRevisionAbove = 0
+	c.restore.uncertain = nil
 	c.control.confirmedID = basis.id
 	c.control.authorityEnd = basis.sentAt.Add(c.opts.timing.Authority)
 	c.directory = directoryState{}
--- a/internal/process/gwlease/core.go
+++ b/internal/process/gwlease/core.go
@@ -27,6 +27,7 @@
 
 	record           record
 	rangesByOwner    map[gw.ServerName][]gw.GrantedRange
+	restore          restore
 	epochs           []recordedEpoch
 	receivedHandover coveredEpochs
 
--- a/internal/process/gwlease/hold.go
+++ b/internal/process/gwlease/hold.go
@@ -23,10 +23,11 @@
 // connection is reset then.
 func (c *Core) grantHolds(s *server) {
 	hold := s.clockAt.Add(c.opts.timing.Session).Sub(c.now)
-	ranges := c.heldRanges(s)
+	ranges, unsettled := c.heldRanges(s)
 	r := c.newRequest(requestGrant, c.opts.timing.GrantTimeout)
 	r.server, r.incarnation = s.entry.Name, s.incarnation
 	r.revision, r.rangesIncluded = c.record.assignment.Revision, true
+	r.unsettled = unsettled
 	s.grantID = r.id
 	if c.opts.faults.holdFromSending {
 		s.extend(c.now.Add(hold))
@@ -40,16 +41,22 @@
 	}})
 }
 
-// heldRanges returns the ranges that the current incarnation of a server may hold, each with its fencing token.
-func (c *Core) heldRanges(s *server) []gw.GrantedRange {
+// heldRanges returns the ranges that the current incarnation of a server may hold, each with its fencing token, and
+// those among them whose owner is not certain, with their recorded tokens.
+func (c *Core) heldRanges(s *server) (held, unsettled []gw.GrantedRange) {
 	ranges := c.grantedRanges(s.entry.Name)
 	kept := ranges[:0]
 	for _, r := range ranges {
-		if r.Token = c.fencingToken(r.Token); r.Token > s.restartRevision {
-			kept = append(kept, r)
+		recorded := r
+		if r.Token = c.fencingToken(r.Token); r.Token <= s.restartRevision {
+			continue
+		}
+		kept = append(kept, r)
+		if !c.settled(recorded.Token) {
+			unsettled = append(unsettled, recorded)
 		}
 	}
-	return kept
+	return kept, unsettled
 }
 
 // noteGrantFailed records that an unanswered grant may have been applied, or may still be until it expires.
@@ -81,7 +88,8 @@
 		}
 		for _, r := range c.rangesByOwner[s.entry.Name] {
 			now := a.At(r.First)
-			if now.First != r.First || now.Owner != s.entry.Name || c.fencingToken(now.Token) > s.restartRevision {
+			if now.First != r.First || now.Owner != s.entry.Name || !c.settled(now.Token) ||
+				c.fencingToken(now.Token) > s.restartRevision {
 				continue
 			}
 			raised, err := a.WithOwner(r.First, s.entry.Name, token)
--- a/internal/process/gwlease/messages.go
+++ b/internal/process/gwlease/messages.go
@@ -182,6 +182,8 @@
 	EventDispatcherChanged EventKind = "dispatcher-changed"
 	EventAuthorityEnded    EventKind = "authority-ended"
 	EventTokenRaised       EventKind = "token-raised"
+	EventStoreRestored     EventKind = "store-restored"
+	EventRangesSettled     EventKind = "ranges-settled"
 )
 
 // Event reports a change of state.
--- a/internal/process/gwlease/move.go
+++ b/internal/process/gwlease/move.go
@@ -66,7 +66,7 @@
 		if r.First == p {
 			continue
 		}
-		if uint64(p)%c.granularity() != 0 || c.moves[r.First] != nil || !c.mayChange(r.Owner) {
+		if uint64(p)%c.granularity() != 0 || !c.settled(r.Token) || c.moves[r.First] != nil || !c.mayChange(r.Owner) {
 			c.refuse(p, r.Owner, "", "split of a range that is moving, not ours, or finer than allowed")
 			continue
 		}
@@ -81,6 +81,7 @@
 	for _, p := range merges {
 		i := a.Index(p)
 		if i == 0 || a.Ranges[i].First != p || a.Ranges[i].Owner != a.Ranges[i-1].Owner ||
+			!c.settled(a.Ranges[i].Token) || !c.settled(a.Ranges[i-1].Token) ||
 			c.moves[p] != nil || c.moves[a.Ranges[i-1].First] != nil || !c.mayChange(a.Ranges[i].Owner) {
 			c.refuse(p, "", "", "merge of ranges that differ in owner, are moving, or are not ours")
 			continue
@@ -120,6 +121,8 @@
 	switch {
 	case r.First != m.First || r.Owner != m.From || m.From == m.To:
 		c.refuse(m.First, m.From, m.To, "the range has other bounds or another owner")
+	case !c.settled(r.Token):
+		c.refuse(m.First, m.From, m.To, "the owner is not certain since the store was restored")
 	case !c.mayChange(m.From):
 		c.refuse(m.First, m.From, m.To, "the range belongs to another cell")
 	case !c.mayOwn(m.To):
@@ -218,7 +221,7 @@
 	}
 	r := c.newRequest(requestRelease, c.opts.timing.ReleaseTimeout)
 	r.server, r.incarnation = s.entry.Name, s.incarnation
-	r.revision = c.record.assignment.Revision + 1
+	r.revision = c.nextRevision()
 	s.releaseID = r.id
 	if !s.rangeFences {
 		s.releaseFloor = max(s.releaseFloor, r.revision)
@@ -282,7 +285,7 @@
 	var ranges []gw.GrantedRange
 	for _, m := range sorted(c.moves) {
 		if m.to == name {
-			token := c.record.assignment.Revision + 1
+			token := c.nextRevision()
 			ranges = append(ranges, gw.GrantedRange{Range: c.span(m.first), Token: token})
 		}
 	}
@@ -294,8 +297,13 @@
 	if c.write != nil || c.record.stale || c.now.Before(c.store.retryAt) || c.throttle.mustWait(c.now) {
 		return
 	}
+	if c.record.absent {
+		// The answer tells the era of the store, and no token is given out before it is known.
+		c.startWrite(c.record.assignment, false, nil)
+		return
+	}
 	next, events := c.withSplitsAndMerges(c.record.assignment)
-	token := c.record.assignment.Revision + 1
+	token := c.nextRevision()
 	for _, m := range c.readyMoves() {
 		moved, err := next.WithOwner(m.first, m.to, token)
 		if err != nil {
@@ -308,7 +316,8 @@
 		events = append(events, Event{Kind: EventRangeMoved, Server: m.from, First: m.first, To: m.to})
 	}
 	next, events = c.withRaisedTokens(next, events, token)
-	if len(events) == 0 && c.raiseRevisionAbove < c.record.assignment.Revision {
+	next, events = c.withSettledTokens(next, events, token)
+	if len(events) == 0 && !c.mustWriteBack() && c.raiseRevisionAbove < c.record.assignment.Revision {
 		return
 	}
 	c.throttle.nextAt = c.now.Add(c.opts.timing.CommitEvery)
--- a/internal/process/gwlease/options.go
+++ b/internal/process/gwlease/options.go
@@ -89,6 +89,11 @@
 	holdFromSending     bool // a hold is taken to count from the sending of its grant
 	releaseUncertain    bool // a release is sent while earlier grants may still be applied
 	keepToken           bool // the token of a grant does not rise with the epoch
+	trustCopy           bool // owners in a record from an older copy of the store are granted their ranges
+	settleUnproven      bool // an owner counts as certain though the server has not confirmed it since a restore
+	settleEarly         bool // an owner counts as certain while former controllers may still grant
+	forgetUncertain     bool // a commit of unknown outcome is taken as not applied after a restore
+	reuseRevisions      bool // revisions continue from the one in an older copy of the store
 }
 
 type options struct {
--- a/internal/process/gwlease/predecessors.go
+++ b/internal/process/gwlease/predecessors.go
@@ -61,6 +61,16 @@
 // time has come. It goes back through the known controllers until a handover or the expiry of authority covers all
 // earlier ones.
 func (c *Core) predecessorsStopped() (time.Time, bool) {
+	since, stopped := c.recordedPredecessorsStopped()
+	if c.restore.era == 0 {
+		return since, stopped
+	}
+	// The store may have lost the commit of a controller that is not known here.
+	end := c.formerAuthorityEnd()
+	return later(since, end), stopped && !c.restore.writtenAt.IsZero() && !c.now.Before(end)
+}
+
+func (c *Core) recordedPredecessorsStopped() (time.Time, bool) {
 	var latest, byTime time.Time
 	below := c.control.epoch
 	for i := len(c.epochs) - 1; ; i-- {
--- a/internal/process/gwlease/record.go
+++ b/internal/process/gwlease/record.go
@@ -14,6 +14,12 @@
 	found      bool
 	version    gw.StoreVersion
 	assignment gw.Assignment
+	// knownID is the last request id used when the version was first seen.
+	knownID uint64
+	// absent is set when the store has lost the record. The next commit creates it again.
+	absent bool
+	// unwritten is set when the assignment has commits that the store has lost.
+	unwritten bool
 	// stale is set when a write found another version in the store.
 	stale  bool
 	readID uint64
@@ -60,6 +66,10 @@
 	if c.outstanding(c.record.readID) || c.now.Before(c.store.retryAt) || c.stopping && !c.controls() {
 		return
 	}
+	if c.mustWriteBack() && c.now.Before(c.record.readAt.Add(storeRetryMin)) {
+		// No read confirms anything before the record is written.
+		return
+	}
 	due := c.controls() && c.due(c.record.readAt.Add(c.opts.timing.ReadEvery)) ||
 		c.isCandidate() && c.due(c.record.readAt.Add(c.opts.timing.CandidateReadEvery))
 	if c.record.loaded && !due && !c.readNeeded() {
@@ -101,10 +111,7 @@
 	}
 	c.storeAnswered()
 	if !in.Found {
-		if !c.record.found {
-			c.record.loaded = true
-			c.noteNotApplied(r.id)
-		}
+		c.noRecord(r)
 		return
 	}
 	c.adoptRecord(in.Version, in.Assignment, r)
@@ -112,25 +119,50 @@
 	c.noteNotApplied(r.id)
 }
 
+// noRecord applies a read that found no record. If one is known, the read counts only when it was sent afterwards.
+func (c *Core) noRecord(r *request) {
+	if c.record.found && !c.record.absent {
+		if r.id <= c.record.knownID {
+			return
+		}
+		c.recordGone()
+	}
+	c.record.loaded = true
+	c.noteNotApplied(r.id)
+}
+
 // adoptRecord bases all decisions from now on on a newer record. basis is the request whose answer showed it, nil
 // when it came through the feed.
 func (c *Core) adoptRecord(version gw.StoreVersion, a gw.Assignment, basis *request) {
 	if c.record.found && version < c.record.version {
 		return
 	}
-	changed := !c.record.found || version != c.record.version
-	c.record.loaded, c.record.found = true, true
-	c.record.version, c.record.assignment = version, a
-	if changed {
-		c.record.stale = false
-		c.indexOwners()
-		c.noteEpoch()
-		c.endWrite()
-		c.endMoves()
+	if !c.record.found || version != c.record.version {
+		c.replaceRecord(version, a, false)
 	}
 	c.checkControl(basis)
 }
 
+// replaceRecord replaces the record by a newer one. What the store has lost in a restore is kept, and written back with
+// the next commit.
+func (c *Core) replaceRecord(version gw.StoreVersion, a gw.Assignment, absent bool) {
+	known := c.record
+	c.noteEra(version, a)
+	unwritten := false
+	if known.restored(version, a) || known.unwritten {
+		a, unwritten = withKnown(a, known.assignment, !c.isUnwritten(version, a))
+	}
+	c.record.loaded, c.record.found = true, true
+	c.record.version, c.record.assignment = version, a
+	c.record.absent, c.record.unwritten = absent, unwritten
+	c.record.knownID = c.lastRequestID
+	c.record.stale = false
+	c.indexOwners()
+	c.noteEpoch()
+	c.endWrite()
+	c.endMoves()
+}
+
 func (c *Core) indexOwners() {
 	before := c.rangesByOwner
 	c.rangesByOwner = map[gw.ServerName][]gw.GrantedRange{}
--- a/internal/process/gwlease/request.go
+++ b/internal/process/gwlease/request.go
@@ -34,6 +34,8 @@
 	instance       gw.InstanceID
 	revision       gw.Revision
 	rangesIncluded bool
+	// unsettled are the ranges of a grant whose owner is not certain.
+	unsettled []gw.GrantedRange
 	// moves are the ranges that a release is for; nil means all of the server.
 	moves []gw.Position
 }
--- a/internal/process/gwlease/script_test.go
+++ b/internal/process/gwlease/script_test.go
@@ -1,6 +1,7 @@
 package gwlease
 
 import (
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -13,10 +14,12 @@
 // Guards the main sessions against changes of outcome and of the time they take. The commands are:
 //
 //	cell SERVERS UNCHECKED       starts one cell in data centre a, with hosts h0 to h3; a third argument makes
-//	                             the service one that is not divided by key
+//	                             the service one that is not divided by key, or gives the servers range fences
 //	own SERVER                   moves the range at 0 to the server and forgets events
 //	run DURATION                 lets time pass
 //	act KIND TARGET DURATION     starts a fault or an operator's act
+//	restore AGE DURATION         takes the store away, and restores it from a copy of that age
+//	served DURATION              requires that each range is held all the while
 //	move FIRST FROM TO           proposes a move to the controller
 //	split FIRST FROM TO POS TO2  proposes to split the range at POS and to move the parts to TO and TO2
 //	within DURATION              waits until each range is served by its owner
@@ -31,7 +34,7 @@
 		Dir: "testdata/script",
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"cell": scriptCell, "own": scriptOwn, "run": scriptRun, "act": scriptAct, "move": scriptMove, "split": scriptSplit,
-			"within": scriptWithin,
+			"within": scriptWithin, "restore": scriptRestore, "served": scriptServed,
 			"expect": scriptExpect, "owner": scriptOwner, "epoch": scriptEpoch, "forget": scriptForget,
 			"dispatched": scriptDispatched, "slots": scriptSlots,
 		},
@@ -67,7 +70,7 @@
 func scriptCell(ts *testscript.TestScript, _ bool, args []string) {
 	m := newSim(scenario{
 		Seed: 1, Cells: 1, Servers: number(ts, args[0]), Unchecked: number(ts, args[1]), Steady: true,
-		Undivided: len(args) > 2,
+		Undivided: len(args) > 2 && args[2] == "undivided", Fenced: len(args) > 2 && args[2] == "fenced",
 	})
 	m.faultFree = true
 	*ts.Value("sim").(**sim) = m
@@ -90,6 +93,27 @@
 	simOf(ts).applyAction(action{Kind: args[0], Target: number(ts, args[1]), For: duration(ts, args[2])})
 }
 
+func scriptRestore(ts *testscript.TestScript, _ bool, args []string) {
+	m := simOf(ts)
+	since := m.now - duration(ts, args[0])
+	m.storeOff = true
+	m.after(duration(ts, args[1]), func() { m.restoreStore(m.now - since) })
+}
+
+func scriptServed(ts *testscript.TestScript, _ bool, args []string) {
+	m := simOf(ts)
+	for end := m.now + duration(ts, args[0]); m.now < end; advance(ts, 10*time.Millisecond) {
+		for i := range m.newest.Assignment.Ranges {
+			span := m.newest.Assignment.Span(i)
+			if !slices.ContainsFunc(m.holdings(), func(h holding) bool {
+				return h.ranges.First <= span.First && span.Last <= h.ranges.Last
+			}) {
+				ts.Fatalf("range %s is not served at %s: %+v", span.First, m.now, m.stored)
+			}
+		}
+	}
+}
+
 func scriptMove(ts *testscript.TestScript, _ bool, args []string) {
 	m := simOf(ts)
 	var first gw.Position
@@ -143,6 +167,9 @@
 func scriptOwner(ts *testscript.TestScript, neg bool, args []string) {
 	var first gw.Position
 	ts.Check(first.UnmarshalText([]byte(args[0])))
+	if simOf(ts).version == 0 {
+		ts.Fatalf("the store has no record")
+	}
 	if owner := simOf(ts).stored.At(first).Owner; (string(owner) == args[1]) == neg {
 		ts.Fatalf("owner of %s is %q", args[0], owner)
 	}
--- a/internal/process/gwlease/server.go
+++ b/internal/process/gwlease/server.go
@@ -42,6 +42,10 @@
 	// rangeFences is set for a server that holds each range under a fencing token, for a time that counts from the
 	// arrival of a grant.
 	rangeFences bool
+	// carried are the ranges that this controller had granted the incarnation before the store was restored, proven
+	// those of them that it has accepted under the same tokens since then.
+	carried []gw.GrantedRange
+	proven  []gw.GrantedRange
 	// grantID is the newest grant to a server with range fences. No other grant is sent while it is outstanding.
 	grantID uint64
 	// restartRevision is the record's revision when the current incarnation replaced another one under this epoch. A
@@ -119,7 +123,7 @@
 
 // firstEpoch reports whether there was no earlier controller that could have granted anything.
 func (c *Core) firstEpoch() bool {
-	return c.control.epoch == 1
+	return c.control.epoch == 1 && c.restore.era == 0
 }
 
 // resetServers discards what was learnt under an earlier epoch. Servers are asked again, so that all knowledge dates
--- a/internal/process/gwlease/session.go
+++ b/internal/process/gwlease/session.go
@@ -98,6 +98,9 @@
 func (c *Core) grantedRanges(name gw.ServerName) []gw.GrantedRange {
 	ranges := make([]gw.GrantedRange, 0, len(c.rangesByOwner[name]))
 	for _, r := range c.rangesByOwner[name] {
+		if !c.mayHold(c.servers[name], r) {
+			continue
+		}
 		if m := c.moves[r.First]; m == nil || m.from != name || !m.isWithheld() || c.opts.faults.restoreUncommitted {
 			ranges = append(ranges, r)
 		}
@@ -128,7 +131,7 @@
 		c.loseControl("server " + string(s.entry.Name) + " has accepted a higher epoch")
 		return
 	}
-	c.noteFenced(s, in.Status)
+	c.noteFenced(s, r, in.Status)
 	switch {
 	case in.Err == nil && r.incarnation == s.incarnation && r.kind == requestGrant:
 		c.granted(s, r)
@@ -188,6 +191,7 @@
 	s.incarnation = status.Incarnation
 	s.seenID = c.lastRequestID
 	s.sessionLive = false
+	s.carried, s.proven = nil, nil
 	if !s.rangeFences {
 		// A grant to a server with range fences names no incarnation, so the new one may hold ranges through a grant
 		// that was sent to the previous one.
@@ -201,7 +205,12 @@
 
 // noteFenced records that the server refuses lower epochs from now on. Sessions granted by an earlier controller are
 // based on earlier clock readings, so they end no later than one based on this reading.
-func (c *Core) noteFenced(s *server, status gw.ServerStatus) {
+//
+// A former controller whose commit the store has lost may have had a higher token than those of earlier eras.
+func (c *Core) noteFenced(s *server, r *request, status gw.ServerStatus) {
+	if r.id <= c.restore.seenID || len(r.unsettled) > 0 {
+		return
+	}
 	if !s.fenced && status.Epoch == c.control.epoch {
 		s.fenced = true
 		s.extend(c.now.Add(c.sessionBound()))
@@ -209,6 +218,7 @@
 }
 
 func (c *Core) granted(s *server, r *request) {
+	c.noteProven(s, r)
 	if r.rangesIncluded && r.id > s.listChangedID && r.revision > s.confirmedRevision {
 		s.confirmedRevision = r.revision
 	}
--- a/internal/process/gwlease/sim_test.go
+++ b/internal/process/gwlease/sim_test.go
@@ -119,6 +119,18 @@
 	version  gw.StoreVersion
 	stored   gw.Assignment
 	storeOff bool
+	// era is one more than the number of restores of the store, and history holds all that it has had, the oldest first.
+	era     uint64
+	history []simRecord
+	// loseNextCommit, when set, is how long the store is away after the next change of an owner, which it loses.
+	loseNextCommit time.Duration
+	// asRestored is set while the record is as it was in the copy.
+	asRestored bool
+	// revisionJumps is set until the first regular write of an era. A jump must lead above all earlier revisions.
+	revisionJumps bool
+	// highestRevision is the highest revision ever written, and newest the record that bears it.
+	highestRevision gw.Revision
+	newest          AssignmentRead
 	// storeDelay is the response time of the store.
 	storeDelay time.Duration
 	noAnswer   bool
@@ -142,6 +154,7 @@
 		unlisted: map[string]bool{}, leaving: map[string]bool{},
 		declaredStopped: map[gw.HostName]bool{},
 		directories:     map[gw.DataCentreName]gw.Directory{},
+		era:             1,
 	}
 	m.cfg = gw.Config{
 		Version: 1,
@@ -249,6 +262,11 @@
 	for _, c := range p.cores {
 		m.step(p, c, ConfigChanged{Config: m.cfg})
 		m.step(p, c, HostsListed{Listing: m.currentListing()})
+		othersRun := slices.ContainsFunc(m.hosts, func(q *simProcess) bool { return q != nil && q != p && !q.dead })
+		if m.sc.Fenced && othersRun && m.newest.Found && m.rng.IntN(2) == 0 {
+			// A new process may have the newest items from the relays before it takes part.
+			m.step(p, c, m.newest)
+		}
 		for _, d := range sorted(m.directories) {
 			m.after(m.delay(), func() { m.step(p, c, DirectorySeen{Directory: d}) })
 		}
@@ -486,6 +504,34 @@
 	return []string{string(p.name), "store:" + string(p.name)}
 }
 
+// simRecord is a record that the store has had since a time.
+type simRecord struct {
+	at      time.Duration
+	version gw.StoreVersion
+	record  gw.Assignment
+}
+
+// simEraRevisions is the number of versions in an era of the store.
+const simEraRevisions = 1 << 40
+
+// simRevision is the version without its era, which is what a write on its way names.
+func simRevision(v gw.StoreVersion) uint64 { return uint64(v) % simEraRevisions }
+
+// restoreStore puts the record back to what it was some time ago, in a new era. The record is gone if there was none.
+func (m *sim) restoreStore(age time.Duration) {
+	m.storeOff = false
+	m.era++
+	m.version, m.stored = 0, gw.Assignment{}
+	for _, h := range m.history {
+		if h.at <= m.now-age && h.version > 0 {
+			m.version, m.stored = gw.StoreVersion(m.era*simEraRevisions+simRevision(h.version)), h.record
+		}
+	}
+	m.asRestored, m.revisionJumps = true, true
+	m.log("store: restored as it was %s ago, version %d %+v", age, m.version, m.stored)
+	m.history = append(m.history, simRecord{m.now, m.version, m.stored})
+}
+
 func (m *sim) read(p *simProcess, c *Core, o ReadAssignment) {
 	m.send(m.storeLinks(p), func() {
 		in := AssignmentRead{ID: o.ID, Found: m.version > 0, Version: m.version, Assignment: m.stored}
@@ -497,11 +543,17 @@
 }
 
 func (m *sim) commit(p *simProcess, c *Core, o CommitAssignment) {
+	era := m.era
 	apply := func(answer bool) {
-		in := CommitDone{ID: o.ID, Version: m.version + 1}
+		in := CommitDone{ID: o.ID, Version: gw.StoreVersion(m.era*simEraRevisions + simRevision(m.version) + 1)}
 		switch {
 		case m.storeOff:
 			in.Err = gw.ErrStoreUnavailable
+		case era != m.era && m.asRestored && simRevision(o.Expected) == simRevision(m.version):
+			// The write was on its way during the restore, and the copy has the revision that it names.
+			in.Err = gw.ErrWriteUnknown
+			m.revisionJumps = true
+			m.write(o.Next)
 		case o.Expected != m.version:
 			in.Err = gw.ErrConflict
 			if in.Found = o.ID%2 == 0; in.Found {
@@ -509,7 +561,12 @@
 				in.Version, in.Current = m.version, m.stored
 			}
 		default:
+			before := m.stored
 			m.apply(o.Next)
+			if m.loseNextCommit > 0 && before.Ranges != nil && len(changedOwners(before, o.Next)) > 0 {
+				m.loseCommit(p)
+				in.Err = gw.ErrWriteUnknown
+			}
 		}
 		if m.noAnswer || !answer {
 			in.Err = gw.ErrWriteUnknown
@@ -528,15 +585,21 @@
 // apply writes a record, and checks that it follows from the one before.
 func (m *sim) apply(next gw.Assignment) {
 	old := m.stored
-	m.version++
-	m.stored = next
-	m.log("store: version %d %+v", m.version, next)
 	if err := next.Validate(); err != nil {
 		m.fail("the store has an invalid record: %v", err)
 	}
-	if next.Revision != old.Revision+1 {
+	// A record that is created after a restore may have a revision that was given out, but gives out no token.
+	created := m.version == 0 && (next.Revision == 1 || highestToken(next) < next.Revision)
+	switch {
+	case !m.revisionJumps && next.Revision != old.Revision+1:
 		m.fail("revision %d follows %d", next.Revision, old.Revision)
+	case m.revisionJumps && next.Revision <= m.highestRevision && !created:
+		m.fail("revision %d is given out again, the highest was %d", next.Revision, m.highestRevision)
+	}
+	if uint64(next.Revision)/simEraRevisions == m.era-1 {
+		m.revisionJumps = false
 	}
+	m.write(next)
 	for i, r := range old.Ranges {
 		if r.Owner != "" && next.At(r.First).Owner == "" {
 			m.fail("range %s has lost its owner %s", old.Span(i).First, r.Owner)
@@ -547,14 +610,59 @@
 			m.fail("epoch of cell %s falls from %d to %d", c.DataCentre, c.Epoch, n.Epoch)
 		}
 	}
+}
+
+func highestToken(a gw.Assignment) gw.Revision {
+	var highest gw.Revision
+	for _, r := range a.Ranges {
+		highest = max(highest, r.Token)
+	}
+	for _, c := range a.Cells {
+		highest = max(highest, c.Since)
+	}
+	return highest
+}
+
+// write replaces the record and passes it on to all hosts.
+func (m *sim) write(next gw.Assignment) {
+	m.version = gw.StoreVersion(m.era*simEraRevisions + simRevision(m.version) + 1)
+	m.stored, m.asRestored = next, false
+	m.log("store: version %d %+v", m.version, next)
+	m.history = append(m.history, simRecord{m.now, m.version, next})
+	in := AssignmentRead{Found: true, Version: m.version, Assignment: next}
+	if next.Revision > m.highestRevision {
+		m.highestRevision, m.newest = next.Revision, in
+	}
 	for _, p := range m.hosts {
+		if m.loseNextCommit > 0 && m.rng.IntN(2) == 0 {
+			continue
+		}
 		for _, c := range p.cores {
-			in := AssignmentRead{Found: true, Version: m.version, Assignment: next}
 			m.send(append(m.storeLinks(p), "hosts:"+string(p.name)), func() { m.step(p, c, in) })
 		}
 	}
 }
 
+// restoreUnlessEnded restores the store unless all faults have ended.
+func (m *sim) restoreUnlessEnded(age time.Duration) {
+	if !m.faultFree {
+		m.restoreStore(age)
+	}
+}
+
+// loseCommit restores the store to before its newest record. Of the hosts that control cells, the writer may end.
+func (m *sim) loseCommit(p *simProcess) {
+	away := m.loseNextCommit
+	m.loseNextCommit = 0
+	m.storeOff = true
+	if i, _ := m.host(p.name); m.rng.IntN(2) == 0 && m.hosts[i] == p {
+		p.dead = true
+		m.after(away, func() { m.restartHost(i, p) })
+	}
+	since := m.now - time.Millisecond
+	m.after(away, func() { m.restoreUnlessEnded(m.now - since) })
+}
+
 // publish passes a directory on to all hosts, which keep the newest.
 func (m *sim) publish(d gw.Directory) {
 	old := m.directories[d.Cell.DataCentre]
--- a/internal/process/gwlease/simaction_test.go
+++ b/internal/process/gwlease/simaction_test.go
@@ -101,6 +101,30 @@
 	case "store-down":
 		m.storeOff = true
 		m.after(a.For, func() { m.storeOff = false })
+	case "restore-store":
+		// Copies are up to 15 s old.
+		age := time.Duration(m.rng.IntN(15000)) * time.Millisecond
+		m.storeOff = true
+		m.after(a.For, func() { m.restoreUnlessEnded(age) })
+	case "lose-next-commit":
+		m.loseNextCommit = a.For
+	case "pause-controller-over-restore":
+		// Its successor moves ranges, and is cut off when the copy names the paused controller again, which does not reach
+		// a server at first.
+		const pause = 4 * time.Second
+		before := m.now
+		p.paused, p.pausedAt = true, m.now
+		m.cutFor("hosts:"+string(p.name), pause+1500*time.Millisecond)
+		m.cutFor("store:"+string(p.name), pause)
+		m.cutFor(string(p.name)+"|"+string(s.entry.Name), pause+800*time.Millisecond)
+		m.after(pause, func() {
+			if cell, ok := m.stored.Cell([]gw.DataCentreName{"a", "b"}[a.Target%m.sc.Cells]); ok {
+				m.cutFor("hosts:"+string(cell.Host), a.For)
+				m.cutFor("store:"+string(cell.Host), a.For)
+			}
+			m.restoreUnlessEnded(m.now - before)
+			m.resume(p)
+		})
 	case "slow-store":
 		m.storeDelay = 700 * time.Millisecond
 		m.after(a.For, func() { m.storeDelay = 0 })
@@ -205,7 +229,7 @@
 func (m *sim) endFaults() {
 	m.log("faults end")
 	m.faultFree = true
-	m.storeOff, m.noAnswer = false, false
+	m.storeOff, m.noAnswer, m.loseNextCommit = false, false, 0
 	clear(m.cut)
 	clear(m.unlisted)
 	clear(m.leaving)
--- a/internal/process/gwlease/simfence_test.go
+++ b/internal/process/gwlease/simfence_test.go
@@ -203,6 +203,13 @@
 	return kind == "operator-stopped" || kind == "operator-stopped-dispatcher"
 })
 
+// restoreActionKinds has more restores of the store than other faults, and those that leave a process with a record
+// that the store has lost.
+var restoreActionKinds = append([]string{
+	"restore-store", "restore-store", "lose-next-commit", "lose-next-commit", "pause-controller-over-restore",
+	"isolate-controller", "restart-controller", "pause-controller", "restart-server", "cut-server-from-controller",
+}, fencedActionKinds...)
+
 // Guards against any interleaving in which two servers with range fences hold a position, a token does not rise when a
 // position changes hands, or a range stays without service after the faults have ended.
 func TestNoPositionIsHeldTwice(t *testing.T) {
@@ -215,25 +222,57 @@
 	})
 }
 
+// Guards against two holders of a position, a token that does not rise, and ranges that stay without service after
+// the store has been restored from an older copy, in which the newest owners and controllers are missing.
+func TestRestoredStoreKeepsOwnersExclusive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sc := drawScenario(t, restoreActionKinds)
+		sc.Fenced, sc.Unchecked = true, 0
+		if err := newSim(sc).runScenario(); err != nil {
+			t.Fatalf("%v\n%s", err, traceOf(sc, 80))
+		}
+	})
+}
+
 // Guards against a property test that no longer detects the faults that are possible with grants without clock
 // readings.
 func TestPlantedFencingFaultsAreFound(t *testing.T) {
 	for _, tc := range []struct {
 		name  string
 		kinds []string
-		plant func(*faults)
+		plant func(*scenario)
 	}{
-		{"hold counts from the sending", []string{"cut-server", "freeze-server", "lose-server-answers"}, func(f *faults) {
-			f.holdFromSending = true
+		{"hold counts from the sending", []string{"cut-server", "freeze-server", "lose-server-answers"}, func(sc *scenario) {
+			sc.Faults.holdFromSending = true
+		}},
+		{"release while a grant may still be applied", fencedActionKinds, func(sc *scenario) {
+			sc.Faults.releaseUncertain = true
+		}},
+		{"the token of a new epoch does not rise", fencedActionKinds, func(sc *scenario) { sc.Faults.keepToken = true }},
+		{"owners in an older copy are trusted", restoreActionKinds, func(sc *scenario) {
+			sc.Faults.trustCopy = true
+		}},
+		{"an owner is certain before it confirms", restoreActionKinds, func(sc *scenario) {
+			*sc = scenario{Seed: sc.Seed, Cells: 1, Servers: 3, Fenced: true, Actions: []action{{
+				At: 4 * time.Second, Kind: "pause-controller-over-restore", Target: sc.Servers, For: 4 * time.Second,
+			}}}
+			sc.Faults.settleUnproven = true
+		}},
+		{"an owner is certain before former controllers end", restoreActionKinds, func(sc *scenario) {
+			sc.Faults.settleEarly = true
+		}},
+		{"an unanswered commit counts as not applied", []string{"lose-next-commit"}, func(sc *scenario) {
+			sc.Faults.forgetUncertain = true
+		}},
+		{"revisions are given out again", restoreActionKinds, func(sc *scenario) {
+			sc.Faults.reuseRevisions = true
 		}},
-		{"release while a grant may still be applied", fencedActionKinds, func(f *faults) { f.releaseUncertain = true }},
-		{"the token of a new epoch does not rise", fencedActionKinds, func(f *faults) { f.keepToken = true }},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
 			n, failure := findFault(scenarios(tc.kinds...), func(sc *scenario) {
 				sc.Fenced, sc.Unchecked, sc.SlowServers, sc.Slow = true, 0, true, max(sc.Slow, 15)
-				tc.plant(&sc.Faults)
+				tc.plant(sc)
 			})
 			require.NotEmpty(t, failure, "not found in %d schedules", n)
 			t.Logf("found in schedule %d: %s", n, failure)
--- a/internal/process/gwlease/takeover.go
+++ b/internal/process/gwlease/takeover.go
@@ -91,10 +91,16 @@
 	if !c.record.found {
 		base = gw.NewAssignment(c.keySpace())
 	}
+	if c.record.absent {
+		// The answer tells the era of the store, and no epoch is given out before it is known.
+		c.startWrite(base, true, nil)
+		return
+	}
 	old, _ := base.Cell(c.opts.cell.DataCentre)
 	next := base.WithCell(gw.Cell{
-		DataCentre: c.opts.cell.DataCentre, Epoch: old.Epoch + 1, Controller: c.opts.instance, Host: c.opts.host,
-		Since: base.Revision + 1,
+		DataCentre: c.opts.cell.DataCentre, Controller: c.opts.instance, Host: c.opts.host,
+		Epoch: max(old.Epoch+1, c.record.version.Era().FirstEpoch()),
+		Since: c.nextRevision(),
 	})
 	c.startWrite(next, true, nil)
 }
