gwlease: a controller confirms its authority after it has written the record back

Cause: the read that found no record confirmed nothing. The feed showed the record that was written back before the store's answer arrived, and the feed confirms nothing either. The next read was due 10 s after the last one, when the authority had ended.

The test before the change:

TestAuthorityIsConfirmedAfterRestore: no output of the type: gwlease.ReadAssignment in []

Change: a read follows as soon as nothing is left to write back. Ruled out: extending the authority by the commit's answer once the feed has settled the write; that helps only the writer.

go test -run 'TestAuthority|TestScripts|TestRestored|TestNoPositionIsHeld' ./internal/process/gwlease: ok golangci-lint run ./internal/process/gwlease: 0 issues

--- a/internal/process/gwlease/record.go
+++ b/internal/process/gwlease/record.go
@@ -156,6 +156,10 @@
 	c.record.version, c.record.assignment = version, a
 	c.record.absent, c.record.unwritten = absent, unwritten
 	c.record.knownID = c.lastRequestID
+	if known.unwritten && !unwritten {
+		// No read has extended the authority while there was something to write back.
+		c.watch.readWanted = true
+	}
 	c.record.stale = false
 	c.indexOwners()
 	c.noteEpoch()
