gwforward: a refusal of a server is not held up by its body

Seen: a backend server that refuses in a complete head (503 with the outcome not-run) and then sends its body a few bytes at a time held the request, its slot and its connection until the deadline of the request; the caller got the refusal only then, too late to return. The silence limit does not help, because every few bytes are progress.

Cause: Answer.drain read up to 8 KiB of the body before the refusal was returned, without a bound of time.

Change: drain waits 20 ms for the rest, after which the connection is closed; a declared length above 8 KiB is not read at all. Usual refusals arrive with their head, so that their connections are still reused.

The test: gwendless is a server whose answers never end, fast or slow, for every place where an answer can be endless: no answer at all, status line, header line, header lines, informational answers, bodies of every framing, chunk size, extension and trailer, bytes after the end, and refusals. It checks result, time, connections, goroutines, and all memory allocated for a request (64 times the bound of a head, 4 MiB).

Run: go test -race -count=1 -run Endless ./internal/request/gwforward: ok.

--- a/internal/connection/gwpool/conn.go
+++ b/internal/connection/gwpool/conn.go
@@ -68,6 +68,11 @@
 	c.pool.put(c)
 }
 
+// Interrupt ends the reading of an answer, so that the connection is discarded when it is released.
+func (c *Conn) Interrupt() {
+	c.close()
+}
+
 // Discard closes the connection, and reports whether a byte of the current request has left. When it reports
 // false, no byte will leave later.
 func (c *Conn) Discard() bool {
--- a/internal/request/gwforward/answer.go
+++ b/internal/request/gwforward/answer.go
@@ -19,6 +19,9 @@
 // maxDrainBytes is the largest body of a refusal that is read to its end so that the connection can be reused.
 const maxDrainBytes = 8 << 10
 
+// drainTimeout is how long the body of a refusal is waited for. It usually arrives with the head.
+const drainTimeout = 20 * time.Millisecond
+
 var buffers = sync.Pool{New: func() any { return new([bufferBytes]byte) }}
 
 // Answer is the answer of a backend server. It must not be used by several goroutines at the same time.
@@ -141,8 +144,15 @@
 	return refusal
 }
 
-// drain reads the rest of a short answer so that its connection can be reused.
+// drain reads the rest of a short answer so that its connection can be reused. It closes the connection when the rest
+// does not arrive at once, because the head already says all.
 func (a *Answer) drain() {
+	if a.length > maxDrainBytes {
+		a.end(false)
+		return
+	}
+	timer := time.AfterFunc(drainTimeout, a.conn.Interrupt)
+	defer timer.Stop()
 	_, err := io.CopyN(io.Discard, a.resp.Body, maxDrainBytes)
 	a.end(errors.Is(err, io.EOF))
 }
