gwpool: bytes that do not begin an answer end the request at once

Seen: a backend server that sends bytes that are no answer, a few at a time and without the end of a line, held the request, its slot and its connection until the deadline, although no later byte could make them an answer.

Cause: net/http looks at a status line only when the line has ended or the bound of the head (64 KiB) is reached.

Change: the connection below net/http compares the first bytes after a request with "HTTP/", with which net/http requires every answer to begin, and fails the read when they differ. The outcome is unknown, bad-answer, as for other bytes that are no answer.

Failing before:

--- FAIL: TestEndlessAnswersEndTheRequest/cases/garbage-slow (1.51s) expected: "bad-answer" actual : "deadline-exceeded"

Ruled out: an answer that net/http accepts and this check refuses; net/http skips nothing before the status line.

Run: go test -race -count=1 -run Endless ./internal/request/gwforward, go test -race ./internal/connection/gwpool: ok.

--- a/internal/connection/gwpool/wire.go
+++ b/internal/connection/gwpool/wire.go
@@ -1,6 +1,7 @@
 package gwpool
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -27,13 +28,20 @@
 	sealed  bool
 	writing bool
 	sent    int64
+	// matched is how many bytes of answerStart the answer has begun with.
+	matched int
 }
 
+// answerStart is what every answer begins with.
+const answerStart = "HTTP/"
+
+var errNoAnswer = errors.New("the bytes are no answer")
+
 // begin starts the counting for a request.
 func (w *wire) begin() {
 	w.touch()
 	w.mu.Lock()
-	w.sent = 0
+	w.sent, w.matched = 0, 0
 	w.mu.Unlock()
 }
 
@@ -41,7 +49,7 @@
 	w.progress.Store(int64(sinceStart()))
 }
 
-// Read reads from the connection.
+// Read reads from the connection. It fails when an answer does not begin as one.
 func (w *wire) Read(p []byte) (int, error) {
 	n, err := w.Conn.Read(p)
 	if n > 0 {
@@ -50,9 +58,27 @@
 	if err != nil {
 		w.failed()
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if refused := w.inspect(p[:n]); refused != nil {
+		return 0, refused
+	}
 	return n, err
 }
 
+// inspect checks the beginning of an answer. The caller holds mu.
+func (w *wire) inspect(p []byte) error {
+	if len(p) == 0 {
+		return nil
+	}
+	n := min(len(p), len(answerStart)-w.matched)
+	if string(p[:n]) != answerStart[w.matched:w.matched+n] {
+		return errNoAnswer
+	}
+	w.matched += n
+	return nil
+}
+
 // Write writes to the connection unless it was sealed.
 func (w *wire) Write(p []byte) (int, error) {
 	w.mu.Lock()
