gwpool: bytes after an answer do not cost the next request its answer

Seen: a backend server sends more bytes in the same packet as the end of an answer. The next request that got the connection at once took these bytes as its answer and ended as unknown, bad-answer. It had been sent, so that one that may not be repeated was lost to its caller.

Cause: the connection went back to the pool when the answer had been read. net/http notices bytes that are left over only when its reading goroutine runs next, and a request that came first made them expected.

Change: Release waits until net/http reads from the network again, which it does only with an empty buffer, and discards the connection when it was closed instead; the wait is bounded (100 ms), and usually that goroutine is already there. A connection on which something arrived while it rested is not handed out, and bytes that arrive before any byte of a request has left seal the connection, so that the request is known as not sent and goes over another connection.

Not covered: bytes that the server sends later and that cross the next request on the way. They cannot be told from the answer to it; the outcome then stays unknown, and never an answer (the slow cases of the same test).

--- a/internal/connection/gwpool/conn.go
+++ b/internal/connection/gwpool/conn.go
@@ -58,10 +58,11 @@
 	return c.wire.peerFailed.Load()
 }
 
-// Release returns the connection to the pool after an answer that arrived whole.
+// Release returns the connection to the pool after an answer that arrived whole. The connection is closed when the
+// server has sent more than that answer.
 func (c *Conn) Release() {
 	c.watch(0)
-	if c.silent.Load() {
+	if c.silent.Load() || !c.wire.rest() {
 		c.Discard()
 		return
 	}
--- a/internal/connection/gwpool/wire.go
+++ b/internal/connection/gwpool/wire.go
@@ -30,12 +30,22 @@
 	sent    int64
 	// matched is how many bytes of answerStart the answer has begun with.
 	matched int
+	// reading is set while net/http waits for bytes, so that it has taken all that arrived before.
+	reading bool
+	// waiting is closed when reading is set next or the connection is sealed. It is nil when nobody waits.
+	waiting chan struct{}
 }
 
 // answerStart is what every answer begins with.
 const answerStart = "HTTP/"
 
-var errNoAnswer = errors.New("the bytes are no answer")
+// restTimeout bounds the wait of rest. net/http closes a connection on which it does not read again after 50 ms.
+const restTimeout = 100 * time.Millisecond
+
+var (
+	errUnsolicited = errors.New("bytes arrived before a request was sent")
+	errNoAnswer    = errors.New("the bytes are no answer")
+)
 
 // begin starts the counting for a request.
 func (w *wire) begin() {
@@ -45,12 +55,51 @@
 	w.mu.Unlock()
 }
 
+// rest ends the counting after a request and reports whether the connection can be used for another one. It waits until
+// net/http reads again, which it does only when no byte is left over from the request.
+func (w *wire) rest() bool {
+	w.mu.Lock()
+	w.sent = 0
+	if !w.reading && !w.sealed {
+		waiting := make(chan struct{})
+		w.waiting = waiting
+		w.mu.Unlock()
+		timer := time.NewTimer(restTimeout)
+		defer timer.Stop()
+		select {
+		case <-waiting:
+		case <-timer.C:
+		}
+		w.mu.Lock()
+	}
+	defer w.mu.Unlock()
+	return w.clean()
+}
+
+// clean reports whether the connection is open and nothing arrived on it. The caller holds mu.
+func (w *wire) clean() bool {
+	return w.reading && !w.sealed && !w.peerFailed.Load()
+}
+
+// wake ends the wait of rest. The caller holds mu.
+func (w *wire) wake() {
+	if w.waiting != nil {
+		close(w.waiting)
+		w.waiting = nil
+	}
+}
+
 func (w *wire) touch() {
 	w.progress.Store(int64(sinceStart()))
 }
 
-// Read reads from the connection. It fails when an answer does not begin as one.
+// Read reads from the connection. It fails when bytes arrive while no request is under way, and when an answer does not
+// begin as one.
 func (w *wire) Read(p []byte) (int, error) {
+	w.mu.Lock()
+	w.reading = true
+	w.wake()
+	w.mu.Unlock()
 	n, err := w.Conn.Read(p)
 	if n > 0 {
 		w.touch()
@@ -60,6 +109,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.reading = false
 	if refused := w.inspect(p[:n]); refused != nil {
 		return 0, refused
 	}
@@ -71,6 +121,11 @@
 	if len(p) == 0 {
 		return nil
 	}
+	if w.sent == 0 && !w.writing {
+		// No later write may pass, so that the request counts as not sent.
+		w.sealed = true
+		return errUnsolicited
+	}
 	n := min(len(p), len(answerStart)-w.matched)
 	if string(p[:n]) != answerStart[w.matched:w.matched+n] {
 		return errNoAnswer
@@ -110,11 +165,12 @@
 	}
 }
 
-// usable reports whether the connection is neither closed nor failed.
+// usable reports whether a connection that rests can still be used: it is neither closed nor failed, and nothing has
+// arrived on it.
 func (w *wire) usable() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return !w.sealed && !w.peerFailed.Load()
+	return w.clean()
 }
 
 // Close closes the connection.
@@ -137,5 +193,6 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.sealed = true
+	w.wake()
 	return w.sent > 0 || w.writing
 }
--- a/internal/request/gwforward/endless_test.go
+++ b/internal/request/gwforward/endless_test.go
@@ -201,3 +201,27 @@
 		})
 	}
 }
+
+// Guards against bytes after the end of an answer that become the answer to the next request, and against the loss of
+// the next request to them when they came with the answer. Bytes that come later may meet a request that was sent.
+func TestBytesAfterAnAnswerAnswerNoOtherRequest(t *testing.T) {
+	for _, c := range endlessCases(t) {
+		if !strings.HasPrefix(c.Name, "after-") && !strings.HasPrefix(c.Name, "refusal-garbage") {
+			continue
+		}
+		t.Run(c.Name, func(t *testing.T) {
+			server := startEndless(t, c.Answer)
+			forwarder, pool := endlessForwarder(c)
+			defer pool.Close()
+			for range 200 {
+				result := sendEndless(context.Background(), forwarder, server.Address(), c.Options[0],
+					time.Now().Add(5*time.Second))
+				if c.Answer.Slow && result != c.Want[0] {
+					require.Equal(t, string(gw.ReasonBadAnswer), result)
+					break
+				}
+				require.Equal(t, c.Want[0], result)
+			}
+		})
+	}
+}
