--- a/internal/connection/gwhostlist/list.go
+++ b/internal/connection/gwhostlist/list.go
@@ -33,6 +33,8 @@
 	idleTimeout = 30 * time.Second
 	// listingBytes holds 1,500 hosts and as many servers of about 300 bytes each several times over.
 	listingBytes = 8 << 20
+	// headBytes bounds the head of an answer.
+	headBytes = 64 << 10
 )
 
 // List is the adapter to the host list. It is safe for concurrent use.
@@ -61,7 +63,9 @@
 		return nil, eris.Wrap(err, "register the counter of host list calls")
 	}
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	transport := &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: idleTimeout}
+	transport := &http.Transport{
+		DialContext: dialer.DialContext, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: headBytes,
+	}
 	return &List{options: o, transport: transport, calls: calls}, nil
 }
 
--- a/internal/connection/gwserver/client.go
+++ b/internal/connection/gwserver/client.go
@@ -30,6 +30,8 @@
 const (
 	dialTimeout = 300 * time.Millisecond
 	idleTimeout = 30 * time.Second
+	// headBytes bounds the head of an answer.
+	headBytes = 64 << 10
 )
 
 // Client is the adapter to the control paths of backend servers. It is safe for concurrent use.
@@ -55,11 +57,12 @@
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: o.idleConns,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
-		Protocols:           protocols,
+		DialContext:            dialer.DialContext,
+		MaxIdleConnsPerHost:    o.idleConns,
+		IdleConnTimeout:        idleTimeout,
+		DisableCompression:     true,
+		Protocols:              protocols,
+		MaxResponseHeaderBytes: headBytes,
 	}
 	return &Client{options: o, transport: transport, calls: calls}, nil
 }
--- a/internal/connection/gwstore/conn.go
+++ b/internal/connection/gwstore/conn.go
@@ -14,6 +14,8 @@
 	dialTimeout         = time.Second
 	idleTimeout         = 30 * time.Second
 	idleConnsPerAddress = 16
+	// headBytes bounds the head of an answer.
+	headBytes = 64 << 10
 )
 
 var errSealed = errors.New("write is given up")
@@ -32,10 +34,11 @@
 			}
 			return &trackedConn{Conn: conn}, nil
 		},
-		MaxIdleConnsPerHost: idleConnsPerAddress,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
-		Protocols:           protocols,
+		MaxIdleConnsPerHost:    idleConnsPerAddress,
+		IdleConnTimeout:        idleTimeout,
+		DisableCompression:     true,
+		Protocols:              protocols,
+		MaxResponseHeaderBytes: headBytes,
 	}
 }
 
