gwpeer: messages between hosts are read within bounds

Seen: another host whose message never ends, in the head (a line, or lines) or in an object of up to 4 GB, was read for as long as the call or the connection lasted, and a line of the head or a string was kept in memory as a whole. On the serving side nothing ended it: the connection took all that came.

Cause: VSCodeObjectCodec of jsonrpc2 reads lines without a bound, any number of them, and takes any length of 32 bits.

Change: boundedCodec reads the same format with lines of at most 4 KiB, at most 8 of them, and objects of at most 64 MB, the bound that lists of the store have, from which all items come. It closes the connection otherwise. Writing is unchanged, so that hosts of both builds understand each other.

Not changed: slow bytes that can still become a message end with the call on the calling side; on the serving side such a connection stays open, with at most one message of memory.

--- a/internal/connection/gwpeer/client.go
+++ b/internal/connection/gwpeer/client.go
@@ -149,7 +149,7 @@
 		}
 		conn = secure
 	}
-	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VSCodeObjectCodec{})
+	stream := jsonrpc2.NewBufferedStream(conn, boundedCodec{})
 	// The connection outlives the call that opened it.
 	rpc := jsonrpc2.NewConn(context.WithoutCancel(ctx), stream, refuseCalls{}, jsonrpc2.SetLogger(quiet))
 	go c.dropWhenClosed(key, rpc)
--- a/internal/connection/gwpeer/server.go
+++ b/internal/connection/gwpeer/server.go
@@ -66,7 +66,7 @@
 	if s.tls != nil {
 		conn = tls.Server(conn, s.tls)
 	}
-	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VSCodeObjectCodec{})
+	stream := jsonrpc2.NewBufferedStream(conn, boundedCodec{})
 	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle))
 	rpc := jsonrpc2.NewConn(ctx, stream, handler, jsonrpc2.SetLogger(quiet))
 	s.mu.Lock()
--- a/internal/standin/gwendless/script.go
+++ b/internal/standin/gwendless/script.go
@@ -18,6 +18,8 @@
 	IDHeader string
 	// Piece is sent again and again. It must not be empty.
 	Piece string
+	// Unasked makes the server answer as soon as the first byte arrives, which need not be an HTTP request.
+	Unasked bool
 	// Slow makes the server send a few bytes at a time, with pauses between them.
 	Slow bool
 }
--- a/internal/standin/gwendless/server.go
+++ b/internal/standin/gwendless/server.go
@@ -130,17 +130,14 @@
 		s.mu.Unlock()
 		_ = conn.Close()
 	}()
-	r, err := http.ReadRequest(bufio.NewReader(conn))
+	id, err := s.read(bufio.NewReader(conn))
 	if err != nil {
 		return
 	}
-	if _, err := io.Copy(io.Discard, r.Body); err != nil {
-		return
-	}
 	s.mu.Lock()
 	s.served++
 	s.mu.Unlock()
-	start := strings.ReplaceAll(s.answer.Start, "{id}", r.Header.Get(s.answer.IDHeader))
+	start := strings.ReplaceAll(s.answer.Start, "{id}", id)
 	if s.answer.Slow {
 		trickle(conn, start, s.answer.Piece)
 	} else {
@@ -148,6 +145,20 @@
 	}
 }
 
+// read reads a request and returns its id.
+func (s *Server) read(in *bufio.Reader) (string, error) {
+	if s.answer.Unasked {
+		_, err := in.ReadByte()
+		return "", err
+	}
+	r, err := http.ReadRequest(in)
+	if err != nil {
+		return "", err
+	}
+	_, err = io.Copy(io.Discard, r.Body)
+	return r.Header.Get(s.answer.IDHeader), err
+}
+
 // flood writes as fast as the connection takes it. The start and the first pieces leave in one write.
 func flood(conn net.Conn, start, piece string) {
 	block := bytes.Repeat([]byte(piece), writeBytes/len(piece)+1)
