gwfakes: the server stand-in can answer without end

The demonstration and the scripts of whole deployments had no fault for an answer whose body never ends. The admin path answer-endlessly sets one: the body of every answer to work goes on, fast or with a pause between pieces of a few bytes, until the caller closes or the fault ends, which closes the connection so that no such answer looks whole. The slot is free before, because the work is done.

No script uses the path yet.

--- a/internal/standin/gwfakes/server_admin.go
+++ b/internal/standin/gwfakes/server_admin.go
@@ -21,6 +21,7 @@
 		s.CutAnswers(v.Bytes)
 	}))
 	handle("answer-late", admin(func(v length) { s.AnswerLate(milliseconds(v.Milliseconds)) }))
+	handle("answer-endlessly", admin(func(v length) { s.AnswerEndlessly(milliseconds(v.Milliseconds)) }))
 	handle("wrong-request-id", admin(func(struct{}) { s.AnswerWrongID() }))
 	handle("silence", admin(func(struct{}) { s.Silence() }))
 	handle("straggle", admin(func(v struct {
--- a/internal/standin/gwfakes/server_answer.go
+++ b/internal/standin/gwfakes/server_answer.go
@@ -30,8 +30,16 @@
 	s := c.server
 	s.setHeaders(w, c.request)
 	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
 	out := s.faultyAnswer(w, c.request)
+	s.mu.Lock()
+	endless := s.faults.endless
+	s.mu.Unlock()
+	if endless {
+		c.end()
+		s.writeEndlessly(out)
+		return
+	}
+	w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
 	padding := bytes.Repeat([]byte{' '}, int(min(length, chunkBytes)))
 	for length > 0 {
 		piece := padding[:min(length, chunkBytes)]
--- a/internal/standin/gwfakes/server_faults.go
+++ b/internal/standin/gwfakes/server_faults.go
@@ -1,6 +1,7 @@
 package gwfakes
 
 import (
+	"bytes"
 	"net/http"
 	"time"
 )
@@ -18,6 +19,9 @@
 	// silentUpTo is the number of the newest connection that gets no answers.
 	silentUpTo int64
 	straggle   float64
+	// endless makes the answers to work never end. endlessPause is the pause between their pieces.
+	endless      bool
+	endlessPause time.Duration
 }
 
 // Freeze stops the server for d: nothing is read, run or answered, while its own clock goes on.
@@ -40,6 +44,12 @@
 	s.setFault(func(f *serverFaults) { f.wrongID = true })
 }
 
+// AnswerEndlessly makes the bodies of answers to work go on until the caller closes the connection or the fault ends,
+// with a pause between pieces of a few bytes, or as fast as the connection takes them when the pause is zero.
+func (s *Server) AnswerEndlessly(pause time.Duration) {
+	s.setFault(func(f *serverFaults) { f.endless, f.endlessPause = true, pause })
+}
+
 // Silence makes the connections that are open now silent: what they send is not run and not answered. New
 // connections work.
 func (s *Server) Silence() {
@@ -164,3 +174,32 @@
 	loseAnswer()
 	return 0, nil
 }
+
+// endlessPiece is what an endless answer consists of. A piece is repeated to a chunk when there is no pause.
+const endlessPiece = "more"
+
+// writeEndlessly writes an answer that never ends, and closes the connection when the fault ends.
+func (s *Server) writeEndlessly(w *faultyWriter) {
+	rc := http.NewResponseController(w.ResponseWriter)
+	chunk := bytes.Repeat([]byte(endlessPiece), chunkBytes/len(endlessPiece))
+	for {
+		s.mu.Lock()
+		on, pause := s.faults.endless, s.faults.endlessPause
+		s.mu.Unlock()
+		if !on {
+			loseAnswer()
+		}
+		piece := chunk
+		if pause > 0 {
+			piece = chunk[:len(endlessPiece)]
+		}
+		if _, err := w.Write(piece); err != nil || rc.Flush() != nil {
+			return
+		}
+		select {
+		case <-time.After(pause):
+		case <-w.request.Context().Done():
+			return
+		}
+	}
+}
--- a/internal/standin/gwfakes/server_test.go
+++ b/internal/standin/gwfakes/server_test.go
@@ -226,6 +226,20 @@
 	require.Equal(t, map[string]int{"request-1": 2}, report.ByRequest)
 }
 
+// Guards against an endless answer that ends by itself or looks whole when the fault ends.
+func TestEndlessAnswerFault(t *testing.T) {
+	s := startServer(t, gwfakes.WithoutFencing())
+	for _, pause := range []time.Duration{0, time.Millisecond} {
+		s.AnswerEndlessly(pause)
+		timer := time.AfterFunc(100*time.Millisecond, s.ResetFaults)
+		defer timer.Stop()
+		a := s.work(t.Context(), "/k")
+		require.ErrorIs(t, a.err, io.ErrUnexpectedEOF)
+		require.True(t, strings.HasPrefix(string(a.body), "moremore"))
+	}
+	require.NoError(t, s.work(t.Context(), "/k").err)
+}
+
 // Guards against faults that do not show, or that show without the effect that they say the request had.
 func TestAnswerFaults(t *testing.T) {
 	s := startServer(t, gwfakes.WithoutFencing())
