--- a/internal/connection/gwpool/conn.go
+++ b/internal/connection/gwpool/conn.go
@@ -58,16 +58,22 @@
 	return c.wire.peerFailed.Load()
 }
 
-// Release returns the connection to the pool after an answer that arrived whole.
+// Release returns the connection to the pool after an answer that arrived whole. The connection is closed when the
+// server has sent more than that answer.
 func (c *Conn) Release() {
 	c.watch(0)
-	if c.silent.Load() {
+	if c.silent.Load() || !c.wire.rest() {
 		c.Discard()
 		return
 	}
 	c.pool.put(c)
 }
 
+// Interrupt ends the reading of an answer, so that the connection is discarded when it is released.
+func (c *Conn) Interrupt() {
+	c.close()
+}
+
 // Discard closes the connection, and reports whether a byte of the current request has left. When it reports
 // false, no byte will leave later.
 func (c *Conn) Discard() bool {
--- a/internal/connection/gwpool/wire.go
+++ b/internal/connection/gwpool/wire.go
@@ -1,6 +1,7 @@
 package gwpool
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -27,22 +28,78 @@
 	sealed  bool
 	writing bool
 	sent    int64
+	// matched is how many bytes of answerStart the answer has begun with.
+	matched int
+	// reading is set while net/http waits for bytes, so that it has taken all that arrived before.
+	reading bool
+	// waiting is closed when reading is set next or the connection is sealed. It is nil when nobody waits.
+	waiting chan struct{}
 }
 
+// answerStart is what every answer begins with.
+const answerStart = "HTTP/"
+
+// restTimeout bounds the wait of rest. net/http closes a connection on which it does not read again after 50 ms.
+const restTimeout = 100 * time.Millisecond
+
+var (
+	errUnsolicited = errors.New("bytes arrived before a request was sent")
+	errNoAnswer    = errors.New("the bytes are no answer")
+)
+
 // begin starts the counting for a request.
 func (w *wire) begin() {
 	w.touch()
 	w.mu.Lock()
-	w.sent = 0
+	w.sent, w.matched = 0, 0
 	w.mu.Unlock()
 }
 
+// rest ends the counting after a request and reports whether the connection can be used for another one. It waits until
+// net/http reads again, which it does only when no byte is left over from the request.
+func (w *wire) rest() bool {
+	w.mu.Lock()
+	w.sent = 0
+	if !w.reading && !w.sealed {
+		waiting := make(chan struct{})
+		w.waiting = waiting
+		w.mu.Unlock()
+		timer := time.NewTimer(restTimeout)
+		defer timer.Stop()
+		select {
+		case <-waiting:
+		case <-timer.C:
+		}
+		w.mu.Lock()
+	}
+	defer w.mu.Unlock()
+	return w.clean()
+}
+
+// clean reports whether the connection is open and nothing arrived on it. The caller holds mu.
+func (w *wire) clean() bool {
+	return w.reading && !w.sealed && !w.peerFailed.Load()
+}
+
+// wake ends the wait of rest. The caller holds mu.
+func (w *wire) wake() {
+	if w.waiting != nil {
+		close(w.waiting)
+		w.waiting = nil
+	}
+}
+
 func (w *wire) touch() {
 	w.progress.Store(int64(sinceStart()))
 }
 
-// Read reads from the connection.
+// Read reads from the connection. It fails when bytes arrive while no request is under way, and when an answer does not
+// begin as one.
 func (w *wire) Read(p []byte) (int, error) {
+	w.mu.Lock()
+	w.reading = true
+	w.wake()
+	w.mu.Unlock()
 	n, err := w.Conn.Read(p)
 	if n > 0 {
 		w.touch()
@@ -50,9 +107,33 @@
 	if err != nil {
 		w.failed()
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.reading = false
+	if refused := w.inspect(p[:n]); refused != nil {
+		return 0, refused
+	}
 	return n, err
 }
 
+// inspect checks the beginning of an answer. The caller holds mu.
+func (w *wire) inspect(p []byte) error {
+	if len(p) == 0 {
+		return nil
+	}
+	if w.sent == 0 && !w.writing {
+		// No later write may pass, so that the request counts as not sent.
+		w.sealed = true
+		return errUnsolicited
+	}
+	n := min(len(p), len(answerStart)-w.matched)
+	if string(p[:n]) != answerStart[w.matched:w.matched+n] {
+		return errNoAnswer
+	}
+	w.matched += n
+	return nil
+}
+
 // Write writes to the connection unless it was sealed.
 func (w *wire) Write(p []byte) (int, error) {
 	w.mu.Lock()
@@ -84,11 +165,12 @@
 	}
 }
 
-// usable reports whether the connection is neither closed nor failed.
+// usable reports whether a connection that rests can still be used: it is neither closed nor failed, and nothing has
+// arrived on it.
 func (w *wire) usable() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return !w.sealed && !w.peerFailed.Load()
+	return w.clean()
 }
 
 // Close closes the connection.
@@ -111,5 +193,6 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.sealed = true
+	w.wake()
 	return w.sent > 0 || w.writing
 }
