e2e: soak stops several hosts of a data centre at once, and prints all events

Cause: with three hosts in a data centre the soak stopped only one at a time. Change: one host of each data centre keeps running. All events are printed. Requests whose connection ends before all bytes were written are counted apart from those that cross a close.

--- a/e2e/soak_client_test.go
+++ b/e2e/soak_client_test.go
@@ -271,7 +271,10 @@
 // soakLate is how long after its deadline a request may be answered.
 const soakLate = time.Second
 
-var errCrossed = errors.New("the request crossed the close of its connection")
+var (
+	errCrossed = errors.New("the request crossed the close of its connection")
+	errUnsent  = errors.New("the connection ended before all bytes were written")
+)
 
 // check returns what is wrong with the way the attempt ended. ran is how often it ran on any server.
 func (a soakAttempt) check(ran int) error {
@@ -320,7 +323,7 @@
 	case ran > 0:
 		return errors.New("lost: passed on to a server, and the connection ended without an answer")
 	case a.sent.IsZero():
-		return errCrossed
+		return errUnsent
 	case a.end.Sub(a.sent) > soakSlack:
 		return fmt.Errorf("lost: the connection ended without an answer %v after the last byte", a.end.Sub(a.sent))
 	}
--- a/e2e/soak_events_test.go
+++ b/e2e/soak_events_test.go
@@ -57,7 +57,7 @@
 	watching sync.WaitGroup
 
 	mu       sync.Mutex
-	stopped  map[gw.DataCentreName]bool
+	stopped  map[gw.DataCentreName]int
 	lines    []string
 	problems []string
 }
@@ -122,25 +122,25 @@
 	return true
 }
 
-// restart stops a host as planned and starts it again. during runs while the process stops, until its context ends. At
-// most one host of a data centre stops at a time, so that another host can take over its servers.
+// restart stops a host as planned and starts it again. during runs while the process stops, until its context ends. One
+// host of each data centre keeps running, so that it can take over the servers of the others.
 func (e *soakEvents) restart(ctx context.Context, h *soakHost, during func(context.Context)) {
 	e.mu.Lock()
-	busy := e.stopped[h.dc] || !h.up.Load()
+	busy := e.stopped[h.dc] >= *soakHosts-1 || !h.up.Load()
 	if !busy {
-		e.stopped[h.dc] = true
+		h.up.Store(false)
+		e.stopped[h.dc]++
 	}
 	e.mu.Unlock()
 	if busy {
-		e.note("%s is not stopped, since another stop or start is in progress in its data centre", h.name)
+		e.note("%s is not stopped, since it or another host of its data centre is not up", h.name)
 		return
 	}
 	defer func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		e.stopped[h.dc] = false
+		e.stopped[h.dc]--
 	}()
-	h.up.Store(false)
 	h.stopping.Store(true)
 	begun := time.Now()
 	e.signal(h, syscall.SIGTERM)
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -33,7 +33,7 @@
 
 const (
 	soakTimeout = 2 * time.Minute
-	// soakPrinted is the number of events and problems that a failure prints.
+	// soakPrinted is the number of problems that a failure prints.
 	soakPrinted = 60
 	// soakStraggleEvery is the time between changes of the servers' speed.
 	soakStraggleEvery = 500 * time.Millisecond
@@ -74,7 +74,7 @@
 	defer cancel()
 	e := &soakEvents{
 		settings: filepath.Join(dir, "settings.json"), config: filepath.Join(dir, "config"),
-		stopped: map[gw.DataCentreName]bool{},
+		stopped: map[gw.DataCentreName]int{},
 	}
 	e.writeSettings(soakSettings("info"))
 	require.NoError(t, os.CopyFS(e.config, os.DirFS("testdata/soak")))
@@ -103,15 +103,12 @@
 	e.watching.Wait()
 	e.checkAttempts(t, attempts, countExecutions(ctx, t, s))
 	if len(e.problems) > 0 {
-		t.Logf("events:\n%s", strings.Join(head(e.lines), "\n"))
-		t.Errorf("seed %d: %d problems, logs in %s:\n%s", seed, len(e.problems), name, strings.Join(head(e.problems), "\n"))
+		t.Logf("events:\n%s", strings.Join(e.lines, "\n"))
+		t.Errorf("seed %d: %d problems, logs in %s:\n%s", seed, len(e.problems), name,
+			strings.Join(e.problems[:min(len(e.problems), soakPrinted)], "\n"))
 	}
 }
 
-func head(lines []string) []string {
-	return lines[:min(len(lines), soakPrinted)]
-}
-
 // load runs the events and the clients of a seed and returns what the clients saw.
 func (e *soakEvents) load(ctx context.Context, t *testing.T, seed uint64) []soakAttempt {
 	sending, stop := context.WithCancel(ctx)
@@ -187,8 +184,8 @@
 		}
 		err := a.check(ran[a.id])
 		switch {
-		case errors.Is(err, errCrossed):
-			ends["crossed"]++
+		case errors.Is(err, errCrossed), errors.Is(err, errUnsent):
+			ends[err.Error()]++
 		case err != nil:
 			ends["failed"]++
 			e.problems = append(e.problems, fmt.Sprintf("%s%v\n\tstart %slast byte written %s\n\t%s",
