forward: a refused attempt no longer reads the body of the next one

What callers saw: a request with a streamed body (above 512 KiB, or chunked on a route by method) whose first attempt was refused, as happens while dispatchers change in a planned stop, ended with 502 bad-answer though no server had failed. A chunked body could reach the server without its beginning and was run as if it were whole. Cause: an attempt that has been refused before its body was read is repeated. net/http may begin to read the body after the refusal has arrived, since one goroutine writes the request and another one reads the answer. What it reads is lost to the second attempt, which sends the rest. The test lets writes return late, so that the read always begins after the refusal; before:

--- FAIL: TestRefusedAttemptReadsBody/100000 Expected nil, but got: &gwforward.Failure{...} --- FAIL: TestRefusedAttemptReadsBody/-1 expected: "100000" actual : "67232" Messages: bytes of the body that the second server got

Change: a streamed body knows which attempt may read it, and an attempt loses that right when its answer ends or it fails, before Replayable is asked. Both are decided under one lock, so that after a true Replayable no read of an earlier attempt begins. Ruled out: a wait for the other goroutine, which may be in a write that takes as long as the receiver likes.

--- a/internal/request/gwforward/answer.go
+++ b/internal/request/gwforward/answer.go
@@ -120,6 +120,8 @@
 		return
 	}
 	a.ended, a.complete = true, complete
+	// net/http may still begin to read the body of a request that has been answered.
+	_ = a.requestBody.Close()
 	// The answer is no longer needed, so an error of Close does not matter.
 	_ = a.resp.Body.Close()
 	if complete && !a.resp.Close && a.requestBody.sent() {
--- a/internal/request/gwforward/body.go
+++ b/internal/request/gwforward/body.go
@@ -39,6 +39,8 @@
 	started  bool
 	complete bool
 	err      error
+	// reader is the attempt that may read the body, nil when none may.
+	reader *attemptBody
 	// reading is closed when the read in progress ends. It is nil when there is none.
 	reading chan struct{}
 }
@@ -130,9 +132,9 @@
 }
 
 // readSource reads the next bytes of a streamed body for an attempt.
-func (b *Body) readSource(p []byte) (int, error) {
+func (b *Body) readSource(a *attemptBody, p []byte) (int, error) {
 	b.mu.Lock()
-	if b.err != nil || b.reading != nil {
+	if b.err != nil || b.reading != nil || b.reader != a {
 		b.mu.Unlock()
 		return 0, eris.Wrap(errBodyEnded, "read")
 	}
@@ -185,6 +187,9 @@
 	if b.src == nil {
 		a.buffered = bytes.NewReader(b.data)
 	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reader = a
 	return a
 }
 
@@ -206,7 +211,7 @@
 		n, err = a.buffered.Read(p)
 	} else {
 		a.conn.Hold()
-		n, err = a.body.readSource(p)
+		n, err = a.body.readSource(a, p)
 		a.conn.Resume()
 	}
 	a.mu.Lock()
@@ -216,11 +221,20 @@
 	return n, err
 }
 
-// Close ends the reading by this attempt. It does not wait for a read in progress.
+// Close ends the reading by this attempt. It does not wait for a read in progress. After Close, no read begins, so that
+// Body.Replayable stays true if it is true.
 func (a *attemptBody) Close() error {
+	if a == nil {
+		return nil
+	}
 	a.mu.Lock()
-	defer a.mu.Unlock()
 	a.ended = true
+	a.mu.Unlock()
+	a.body.mu.Lock()
+	defer a.body.mu.Unlock()
+	if a.body.reader == a {
+		a.body.reader = nil
+	}
 	return nil
 }
 
--- a/internal/request/gwforward/forward.go
+++ b/internal/request/gwforward/forward.go
@@ -98,6 +98,7 @@
 	resp, err := conn.RoundTrip(out, r.maxSilenceMilliseconds()) //nolint:bodyclose // Answer.end closes it.
 	if err != nil {
 		sent := conn.Discard()
+		_ = body.Close()
 		failed := &Failure{Refusal: classifyFailure(ctx, r, conn, sent, err)}
 		return nil, failed, !sent && ctx.Err() == nil && r.Body.Replayable()
 	}
