host: a planned stop answers requests that have arrived before it closes connections

What callers saw: in the last moment of a planned stop a connection ended without an answer although all bytes of the request had arrived long before. Cause: the stop ended the HTTP servers with http.Server.Shutdown as soon as no request was running. After that net/http closes a connection when it reads a request, without serving it, and closes connections whose request waits in the socket. A host that gets little processor time reads a request hundreds of milliseconds after it has arrived.

Change: at its end the stop closes the listeners for callers and other hosts, and goes on refusing what arrives on open connections for 300 ms, within the time of the stop. The servers end after that as before. Ruled out: a delay in net/http itself; in a trial Shutdown closed a connection 0.1 ms after the last byte of a request. Not solved: requests on connections that the process has not accepted when the listener closes, and a host that gets no processor time for 300 ms.

--- a/internal/process/gwhost/run.go
+++ b/internal/process/gwhost/run.go
@@ -32,7 +32,7 @@
 		return err
 	}
 	var group run.Group
-	h.addStop(ctx, &group)
+	h.addStop(ctx, &group, listeners)
 	if h.backend.Run != nil {
 		addLoop(&group, h.backend.Run)
 	}
@@ -116,12 +116,19 @@
 
 func (h *Host) addHTTP(group *run.Group, listener net.Listener, handler http.Handler, headerBytes int) {
 	server := gwforward.NewServer(handler, headerBytes)
+	interrupted, interrupt := context.WithCancel(context.Background())
 	group.Add(func() error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		switch err := server.Serve(listener); {
+		case errors.Is(err, net.ErrClosed):
+			// A planned stop closes listeners before it ends. The first actor that returns would end it sooner.
+			<-interrupted.Done()
+			return nil
+		case !errors.Is(err, http.ErrServerClosed):
 			return eris.Wrapf(err, "serve on %s", listener.Addr())
 		}
 		return nil
 	}, func(error) {
+		defer interrupt()
 		ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 		defer cancel()
 		if err := server.Shutdown(ctx); err != nil {
--- a/internal/process/gwhost/stop.go
+++ b/internal/process/gwhost/stop.go
@@ -7,6 +7,7 @@
 	"github.com/oklog/run"
 
 	"github.com/geraniumworks/geraniumworks/internal/process/gwtimer"
+	"github.com/geraniumworks/geraniumworks/internal/request/gwforward"
 )
 
 // leasePollInterval is the time between checks for remaining dispatch leases during a planned stop.
@@ -14,12 +15,12 @@
 
 // addStop adds the actor that ends the process: it waits until ctx ends, and then performs the planned stop. When
 // another actor ends first, it returns without a planned stop.
-func (h *Host) addStop(ctx context.Context, group *run.Group) {
+func (h *Host) addStop(ctx context.Context, group *run.Group, l listeners) {
 	ended, cancel := context.WithCancel(ctx)
 	group.Add(func() error {
 		<-ended.Done()
 		if ctx.Err() != nil {
-			h.stop()
+			h.stop(l)
 		}
 		return nil
 	}, func(error) { cancel() })
@@ -27,7 +28,7 @@
 
 // stop hands over the roles of this process and finishes running requests within the time that the settings allow. The
 // process reports at once that it is not ready, but accepts requests until the balancer has had time to notice.
-func (h *Host) stop() {
+func (h *Host) stop(l listeners) {
 	deadline := time.Now().Add(time.Duration(h.settings.StopMilliseconds) * time.Millisecond)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
@@ -52,6 +53,7 @@
 	if err := h.relay.Wait(ctx); err != nil {
 		h.log.Warn("requests of other hosts were cut off at the end of a planned stop", "error", err)
 	}
+	gwforward.StopAccepting(ctx, l.callers, l.relay)
 }
 
 // waitReassigned waits until controllers have assigned the servers of this dispatcher to other hosts.
--- a/internal/request/gwforward/server.go
+++ b/internal/request/gwforward/server.go
@@ -1,8 +1,12 @@
 package gwforward
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"time"
+
+	"github.com/geraniumworks/geraniumworks/internal/process/gwtimer"
 )
 
 const (
@@ -13,6 +17,8 @@
 	idleTimeout = 75 * time.Second
 	// RefusalTimeout is the longest time for writing a refusal, which usually fits into the buffers of the connection.
 	RefusalTimeout = 5 * time.Second
+	// arrivedTimeout is how long a stopping host goes on reading requests that have arrived on its connections.
+	arrivedTimeout = 300 * time.Millisecond
 )
 
 // NewServer returns an HTTP server with the settings that the handlers of entry point and relay need. It sets no
@@ -27,3 +33,14 @@
 		DisableGeneralOptionsHandler: true,
 	}
 }
+
+// StopAccepting closes listeners and then lets their servers refuse the requests that have arrived on open connections.
+// It is called before http.Server.Shutdown, after which net/http closes a connection without an answer when it reads
+// a request. The handlers must already refuse new requests.
+func StopAccepting(ctx context.Context, listeners ...net.Listener) {
+	for _, l := range listeners {
+		// An error means that the listener is closed already.
+		_ = l.Close()
+	}
+	gwtimer.Sleep(ctx, arrivedTimeout)
+}
