--- a/e2e/soak_client_test.go
+++ b/e2e/soak_client_test.go
@@ -291,6 +291,7 @@
 	}
 	var own struct {
 		Key    string    `json:"key"`
+		Bytes  int       `json:"bytes"`
 		Reason gw.Reason `json:"reason"`
 	}
 	if err := json.Unmarshal(a.body, &own); err != nil {
@@ -298,8 +299,8 @@
 	}
 	switch a.outcome {
 	case gw.OutcomeAnswered:
-		if a.status != http.StatusOK || own.Key != a.path || ran == 0 {
-			return fmt.Errorf("answered with the key %q, ran %d times", own.Key, ran)
+		if a.status != http.StatusOK || own.Key != a.path || ran == 0 || a.kind.pieces > 0 && own.Bytes != a.kind.bytes {
+			return fmt.Errorf("answered with the key %q and a body of %d bytes, ran %d times", own.Key, own.Bytes, ran)
 		}
 	case gw.OutcomeNotRun:
 		if ran != 0 || own.Reason != a.reason || a.reason == "" {
