--- a/internal/process/gwhost/run.go
+++ b/internal/process/gwhost/run.go
@@ -20,8 +20,9 @@
 	// relayHeaderBytes limits the header of a request between hosts. It is above the limit for callers, since entry hosts
 	// add headers. The operators' listeners have the same limit.
 	relayHeaderBytes = 64 << 10
-	// closeTimeout limits the graceful shutdown of an HTTP server after a planned stop; remaining connections are closed.
-	closeTimeout = 2 * time.Second
+	// closeTimeout limits the graceful shutdown of the HTTP servers after a planned stop, before the platform kills the
+	// process; remaining connections are closed.
+	closeTimeout = 300 * time.Millisecond
 )
 
 // Run serves until ctx ends, and then performs a planned stop: it hands over its roles to other hosts and finishes
@@ -71,16 +72,17 @@
 func (h *Host) listen(ctx context.Context) (listeners, error) {
 	var l listeners
 	var config net.ListenConfig
+	addresses := h.settings.Load().Listen
 	var opened []net.Listener
 	for _, each := range []struct {
 		address string
 		to      *net.Listener
 	}{
-		{h.settings.Listen.Callers, &l.callers},
-		{h.settings.Listen.Relay, &l.relay},
-		{h.settings.Listen.Peers, &l.peers},
-		{h.settings.Listen.Operators, &l.operators},
-		{h.settings.Listen.Readiness, &l.readiness},
+		{addresses.Callers, &l.callers},
+		{addresses.Relay, &l.relay},
+		{addresses.Peers, &l.peers},
+		{addresses.Operators, &l.operators},
+		{addresses.Readiness, &l.readiness},
 	} {
 		if each.address == "" {
 			continue
@@ -93,7 +95,7 @@
 			return listeners{}, eris.Wrapf(err, "listen on %s", each.address)
 		}
 		opened = append(opened, listener)
-		*each.to = listener
+		*each.to = lastingListener{listener, h.log}
 	}
 	return l, nil
 }
@@ -116,27 +118,33 @@
 
 func (h *Host) addHTTP(group *run.Group, listener net.Listener, handler http.Handler, headerBytes int) {
 	server := gwforward.NewServer(handler, headerBytes)
-	interrupted, interrupt := context.WithCancel(context.Background())
+	closed := make(chan struct{})
 	group.Add(func() error {
-		switch err := server.Serve(listener); {
-		case errors.Is(err, net.ErrClosed):
-			// A planned stop closes listeners before it ends. The first actor that returns would end it sooner.
-			<-interrupted.Done()
-			return nil
-		case !errors.Is(err, http.ErrServerClosed):
+		err := server.Serve(listener)
+		if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			return eris.Wrapf(err, "serve on %s", listener.Addr())
 		}
+		// A planned stop closes listeners before it ends. The first actor that returns would end it sooner.
+		<-closed
 		return nil
 	}, func(error) {
-		defer interrupt()
-		ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
-		defer cancel()
-		if err := server.Shutdown(ctx); err != nil {
-			_ = server.Close()
-		}
+		// The group interrupts one actor after the other; the servers of a host shut down at the same time.
+		go func() {
+			defer close(closed)
+			shutDown(server)
+		}()
 	})
 }
 
+// shutDown closes a server once its requests have ended, after closeTimeout at the latest.
+func shutDown(server *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		_ = server.Close()
+	}
+}
+
 // readinessHandler answers every request with status 200 while the balancer should send callers to this host, and with
 // 503 otherwise.
 func (h *Host) readinessHandler() http.Handler {
--- a/internal/process/gwhost/stop.go
+++ b/internal/process/gwhost/stop.go
@@ -13,6 +13,13 @@
 // leasePollInterval is the time between checks for remaining dispatch leases during a planned stop.
 const leasePollInterval = 50 * time.Millisecond
 
+// relayAllowance is the part of the time for a planned stop that is left for running requests of other hosts, when
+// controllers do not assign the servers of this dispatcher to other hosts.
+const relayAllowance = 500 * time.Millisecond
+
+// endAllowance is the part of the time for a planned stop in which requests that are still running get an answer.
+const endAllowance = 150 * time.Millisecond
+
 // addStop adds the actor that ends the process: it waits until ctx ends, and then performs the planned stop. When
 // another actor ends first, it returns without a planned stop.
 func (h *Host) addStop(ctx context.Context, group *run.Group, l listeners) {
@@ -29,7 +36,8 @@
 // stop hands over the roles of this process and finishes running requests within the time that the settings allow. The
 // process reports at once that it is not ready, but accepts requests until the balancer has had time to notice.
 func (h *Host) stop(l listeners) {
-	deadline := time.Now().Add(time.Duration(h.settings.StopMilliseconds) * time.Millisecond)
+	settings := h.settings.Load()
+	deadline := time.Now().Add(time.Duration(settings.StopMilliseconds) * time.Millisecond)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	h.stopping.Store(true)
@@ -40,15 +48,14 @@
 	}
 	handedOver := make(chan error, 1)
 	go func() { handedOver <- h.control.Stop(ctx) }()
-	gwtimer.Sleep(ctx, time.Duration(h.settings.DrainMilliseconds)*time.Millisecond)
-	h.entry.Stop()
-	if err := h.entry.Wait(ctx); err != nil {
-		h.log.Warn("requests of callers were cut off at the end of a planned stop", "error", err)
-	}
+	gwtimer.Sleep(ctx, time.Duration(settings.DrainMilliseconds)*time.Millisecond)
+	h.finishRequests(ctx, deadline)
 	if err := <-handedOver; err != nil {
 		h.log.Warn("cells were not handed over in time", "error", err)
 	}
-	h.waitReassigned(ctx)
+	reassigned, cancelWait := context.WithDeadline(ctx, deadline.Add(-relayAllowance))
+	defer cancelWait()
+	h.waitReassigned(reassigned)
 	h.relay.Stop()
 	if err := h.relay.Wait(ctx); err != nil {
 		h.log.Warn("requests of other hosts were cut off at the end of a planned stop", "error", err)
@@ -56,6 +63,22 @@
 	gwforward.StopAccepting(ctx, l.callers, l.relay)
 }
 
+// finishRequests refuses new requests of callers and waits for those that are running. Shortly before the deadline it
+// answers the rest.
+func (h *Host) finishRequests(ctx context.Context, deadline time.Time) {
+	h.entry.Stop()
+	running, cancel := context.WithDeadline(ctx, deadline.Add(-endAllowance))
+	defer cancel()
+	if h.entry.Wait(running) == nil {
+		return
+	}
+	h.log.Warn("requests of callers outlast the planned stop and are answered without their servers")
+	h.entry.End()
+	if err := h.entry.Wait(ctx); err != nil {
+		h.log.Warn("requests of callers were cut off at the end of a planned stop", "error", err)
+	}
+}
+
 // waitReassigned waits until controllers have assigned the servers of this dispatcher to other hosts.
 func (h *Host) waitReassigned(ctx context.Context) {
 	for h.dispatcher.Leased() > 0 {
--- a/internal/request/gwentry/fakes_test.go
+++ b/internal/request/gwentry/fakes_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -52,6 +53,8 @@
 	asked   []gw.SlotRequest
 	open    int
 	results []gw.AttemptResult
+	// onDone is called at the end of each attempt, nil for nothing.
+	onDone func()
 }
 
 type slot struct {
@@ -97,6 +100,9 @@
 	if !done {
 		panic("Done was called twice")
 	}
+	if s.d.onDone != nil {
+		s.d.onDone()
+	}
 	s.d.mu.Lock()
 	defer s.d.mu.Unlock()
 	s.d.open--
@@ -133,6 +139,7 @@
 	relay string
 	// idle is the idle timeout of pooled connections in milliseconds.
 	idle int64
+	log  *slog.Logger
 }
 
 func testConfig(s setup) gw.Config {
@@ -163,6 +170,9 @@
 
 func newSystem(t testing.TB, s setup) *system {
 	t.Helper()
+	if s.log == nil {
+		s.log = slog.New(slog.DiscardHandler)
+	}
 	idle := s.idle
 	if idle == 0 {
 		idle = gwpool.DefaultIdleMilliseconds
@@ -178,7 +188,7 @@
 	forwarder := gwforward.New(gwforward.WithPool(sys.pool))
 	sys.relay = gwrelay.New(
 		gwrelay.WithConfig(config), gwrelay.WithDispatcher(sys.dispatcher), gwrelay.WithForwarder(forwarder),
-		gwrelay.WithRegion("holland"),
+		gwrelay.WithRegion("holland"), gwrelay.WithLogger(s.log),
 	)
 	relay := start(t, gwforward.NewServer(sys.relay, 64<<10))
 	relayAddress := relay.Listener.Addr().String()
@@ -204,7 +214,7 @@
 	sys.entry = gwentry.New(
 		gwentry.WithConfig(config), gwentry.WithRouter(sys.router), gwentry.WithRegion("holland"),
 		gwentry.WithLocal(sys.relay), gwentry.WithForwarder(forwarder),
-		gwentry.WithPolicy(gwretry.New()),
+		gwentry.WithPolicy(gwretry.New()), gwentry.WithLogger(s.log),
 	)
 	sys.server = start(t, gwforward.NewServer(sys.entry, gwentry.DefaultHeaderBytes))
 	sys.url = sys.server.URL
--- a/internal/request/gwentry/handler.go
+++ b/internal/request/gwentry/handler.go
@@ -22,10 +22,13 @@
 
 // Handler serves the requests of callers.
 type Handler struct {
-	opts  Options
-	echo  *echo.Echo
-	gate  gwforward.Gate
-	index atomic.Pointer[configIndex]
+	opts Options
+	echo *echo.Echo
+	gate gwforward.Gate
+	// ending ends when the running requests must be answered at once.
+	ending context.Context
+	end    context.CancelFunc
+	index  atomic.Pointer[configIndex]
 	// callerTimeouts estimates how long requests have been under way before they arrived here.
 	callerTimeouts callerTimeouts
 	splitter       *gwsplit.Splitter
@@ -48,8 +51,11 @@
 	if o.Policy == nil {
 		o.Policy = gwretry.New()
 	}
+	ending, end := context.WithCancel(context.Background())
 	h := &Handler{
 		opts:     o,
+		ending:   ending,
+		end:      end,
 		echo:     echo.New(),
 		splitter: gwsplit.New(),
 		results: promauto.With(o.Registerer).NewCounterVec(prometheus.CounterOpts{
@@ -74,6 +80,12 @@
 	h.gate.Stop()
 }
 
+// End ends the running requests of which no answer has arrived: those that have not been sent are refused, the others
+// get an answer that says that their outcome is unknown. It must be called after Stop.
+func (h *Handler) End() {
+	h.end()
+}
+
 // Wait waits until no request is running. It returns the error of ctx when ctx ends first.
 func (h *Handler) Wait(ctx context.Context) error {
 	return h.gate.Wait(ctx)
@@ -82,7 +94,8 @@
 // Serve handles one request. When an answer is cut off after its head was passed on, Serve panics with
 // http.ErrAbortHandler, which must reach the HTTP server.
 func (h *Handler) Serve(ec echo.Context) error {
-	w, r := ec.Response(), ec.Request()
+	// The writer of echo does not report errors of a flush.
+	w, r := ec.Response().Writer, ec.Request()
 	rc := http.NewResponseController(w)
 	// Clears the write deadline that an earlier request on the connection has set. Writers without deadline support occur
 	// in tests only and have no slow caller.
@@ -124,25 +137,33 @@
 	}
 	ctx, cancel := context.WithDeadline(c.in.Context(), c.deadline)
 	defer cancel()
+	detach := context.AfterFunc(h.ending, cancel)
+	defer detach()
 	defer c.finish()
 	c.retries = h.opts.Policy.Service(c.service.Name)
 	c.retries.AddRequest(c.service.Limits)
 	answer, refusal := c.run(ctx)
+	if answer != nil {
+		// An answer whose head has arrived cannot be replaced any more.
+		detach()
+	}
 	if answer != nil && !c.in.ProtoAtLeast(1, 1) && !answer.LengthKnown() {
 		// In HTTP/1.0 such an answer ends when the connection closes, so that a cut could not be told from its end.
 		answer.Close()
 		refusal = gw.Refuse(gw.ReasonBadAnswer, "the answer has no declared length and cannot be sent over HTTP/1.0")
 	}
+	if answer != nil && refusal == nil {
+		refusal = answer.CloseExpired(time.Now())
+	}
 	if refusal != nil {
 		c.logEnd(refusal, 0)
 		h.refuse(w, c.rc, !c.body.Complete(), refusal)
 		return
 	}
 	c.logEnd(nil, answer.Status)
-	// A caller that reads the answer slowly must not occupy a slot beyond the deadline.
-	_ = c.rc.SetWriteDeadline(c.deadline)
 	if err := answer.Write(w, h.opts.Callers); err != nil {
 		h.results.WithLabelValues(string(gw.OutcomeAnswered), "cut").Inc()
+		c.logCut(answer.Status, err)
 		panic(http.ErrAbortHandler)
 	}
 	h.results.WithLabelValues(string(gw.OutcomeAnswered), "").Inc()
@@ -163,7 +184,7 @@
 		gwforward.Linger(rc)
 	}
 	h.results.WithLabelValues(string(refusal.Reason.Outcome()), string(refusal.Reason)).Inc()
-	_ = rc.SetWriteDeadline(time.Now().Add(gwforward.RefusalTimeout))
+	_ = rc.SetWriteDeadline(time.Now().Add(gwforward.WriteTimeout))
 	gwforward.WriteRefusal(w, h.opts.Callers, refusal)
 }
 
