--- a/internal/process/gwhost/run.go
+++ b/internal/process/gwhost/run.go
@@ -33,7 +33,7 @@
 		return err
 	}
 	var group run.Group
-	h.addStop(ctx, &group)
+	h.addStop(ctx, &group, listeners)
 	if h.backend.Run != nil {
 		addLoop(&group, h.backend.Run)
 	}
@@ -120,9 +120,11 @@
 	server := gwforward.NewServer(handler, headerBytes)
 	closed := make(chan struct{})
 	group.Add(func() error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		err := server.Serve(listener)
+		if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			return eris.Wrapf(err, "serve on %s", listener.Addr())
 		}
+		// A planned stop closes listeners before it ends. The first actor that returns would end it sooner.
 		<-closed
 		return nil
 	}, func(error) {
--- a/internal/request/gwforward/server.go
+++ b/internal/request/gwforward/server.go
@@ -1,8 +1,12 @@
 package gwforward
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"time"
+
+	"github.com/geraniumworks/geraniumworks/internal/process/gwtimer"
 )
 
 const (
@@ -14,6 +18,8 @@
 	// WriteTimeout is the longest time for writing a refusal or a complete answer, which usually fit into the buffers of
 	// the connection.
 	WriteTimeout = 5 * time.Second
+	// arrivedTimeout is how long a stopping host goes on reading requests that have arrived on its connections.
+	arrivedTimeout = 300 * time.Millisecond
 )
 
 // NewServer returns an HTTP server with the settings that the handlers of entry point and relay need. It sets no
@@ -28,3 +34,14 @@
 		DisableGeneralOptionsHandler: true,
 	}
 }
+
+// StopAccepting closes listeners and then lets their servers refuse the requests that have arrived on open connections.
+// It is called before http.Server.Shutdown, after which net/http closes a connection without an answer when it reads
+// a request. The handlers must already refuse new requests.
+func StopAccepting(ctx context.Context, listeners ...net.Listener) {
+	for _, l := range listeners {
+		// An error means that the listener is closed already.
+		_ = l.Close()
+	}
+	gwtimer.Sleep(ctx, arrivedTimeout)
+}
