platform: one width for eras in versions

The adapter's versions and the eras of gw.StoreVersion each had a constant for the width of a revision.

--- a/era.go
+++ b/era.go
@@ -4,8 +4,12 @@
 // the copy was made.
 type Era uint64
 
+// EraShift is the lowest bit of the era in store versions, revisions and epochs. At 1,000 writes a second the numbers
+// of an era last for 34 years.
+const EraShift = 40
+
 // numbersPerEra is how many store versions, revisions and epochs there are in an era.
-const numbersPerEra = 1 << 40
+const numbersPerEra = 1 << EraShift
 
 // Era returns the era of the store that has the value. Versions hold its number from 1 on, or zero for a store that is
 // never restored.
