forward: a refusal that arrives slowly does not end the next request

What callers saw: in a test under load, 502 bad-answer with an unknown outcome for a request that followed a refusal on the same connection between hosts.

Change: the connection goes back to the pool only if the timer was stopped before it fired.

--- a/internal/request/gwforward/answer.go
+++ b/internal/request/gwforward/answer.go
@@ -154,9 +154,9 @@
 		return
 	}
 	timer := time.AfterFunc(drainTimeout, a.conn.Interrupt)
-	defer timer.Stop()
 	_, err := io.CopyN(io.Discard, a.resp.Body, maxDrainBytes)
-	a.end(errors.Is(err, io.EOF))
+	// Once the timer has fired, the connection is or will be closed, so it must not get another request.
+	a.end(timer.Stop() && errors.Is(err, io.EOF))
 }
 
 // Close ends the answer and discards the part that was not read.
--- a/internal/request/gwforward/write_test.go
+++ b/internal/request/gwforward/write_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/url"
+	"sync"
 	"testing"
 	"time"
 
@@ -68,3 +69,55 @@
 	answer = receiveAnswer(t, deadline, nil)
 	require.Nil(t, answer.CloseExpired(deadline), "a complete answer is delivered")
 }
+
+// Guards against a request on a reused connection that is closed because the refusal before it took long to arrive.
+func TestSlowRefusalDoesNotEndTheNextRequest(t *testing.T) {
+	const (
+		connections = 16
+		rounds      = 25
+		// bodyDelay is about the time for which the body of a refusal is waited for.
+		bodyDelay = 20 * time.Millisecond
+	)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(gw.HeaderRequestID, r.Header.Get(gw.HeaderRequestID))
+		if r.URL.Path != "/refused" {
+			_, _ = io.WriteString(w, "whole body")
+			return
+		}
+		w.Header().Set(gw.HeaderOutcome, string(gw.OutcomeNotRun))
+		w.Header().Set(gw.HeaderReason, string(gw.ReasonOverloaded))
+		w.Header().Set("Content-Length", "4")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(bodyDelay)
+		_, _ = io.WriteString(w, "full")
+	}))
+	t.Cleanup(server.Close)
+	var running sync.WaitGroup
+	for range connections {
+		f := gwforward.New()
+		t.Cleanup(f.Pool().Close)
+		send := func(path string) (*gwforward.Answer, *gwforward.Failure) {
+			return f.Send(context.Background(), &gwforward.Request{
+				ID: "r1", Deadline: time.Now().Add(time.Minute), Method: http.MethodGet, URL: &url.URL{Path: path},
+				Host: "names.example", Header: http.Header{}, Address: server.Listener.Addr().String(), Connections: 1,
+				Limits: gw.ServiceLimits{ProgressMilliseconds: 60_000},
+			})
+		}
+		running.Go(func() {
+			for range rounds {
+				if _, failed := send("/refused"); failed == nil || failed.Reason != gw.ReasonOverloaded {
+					t.Errorf("refusal: %+v", failed)
+					return
+				}
+				answer, failed := send("/answered")
+				if failed != nil {
+					t.Errorf("the request after a refusal: %s, %s", failed.Reason, failed.Detail)
+					return
+				}
+				answer.Close()
+			}
+		})
+	}
+	running.Wait()
+}
