gwlease: a request for relief ends with the outage that a restore follows

What callers would see: keys of one cell unserved for up to 24 s after a restore, though all hosts are alive.

Cause: in an outage controllers ask candidates to take over. A candidate did so as soon as the restored store answered it, while the controller went on. The successor does not know what the servers hold and has to wait until nothing granted before can be live.

The test before the change:

TestReliefEndsWithRestore: Should be zero, but was 1

Change: a candidate forgets the request when it sees the restore. Open: a request that reaches it after that.

--- a/internal/process/gwlease/restore.go
+++ b/internal/process/gwlease/restore.go
@@ -43,6 +43,8 @@
 	switch {
 	case c.record.restored(version, a):
 		c.carryOver(a)
+		// The controller asked for relief in the outage, and only it knows what its servers hold.
+		c.reliefEpoch = 0
 		c.restore = restore{
 			era: version.Era(), seenID: c.lastRequestID, seenAt: c.now, uncertain: c.restore.uncertain,
 		}
--- a/internal/process/gwlease/restore_test.go
+++ b/internal/process/gwlease/restore_test.go
@@ -44,3 +44,14 @@
 	require.Failf(t, "no output of the type", "%T in %+v", none, outputs)
 	return none
 }
+
+// Guards against a candidate that takes a cell over after a restore because the controller asked for relief in the
+// outage before it. The controller goes on, and only it knows which ranges its servers hold.
+func TestReliefEndsWithRestore(t *testing.T) {
+	c := New(WithHost("h1", "h1#1"), WithCell(gw.CellID{Service: simService, DataCentre: "a"}, simRegion))
+	a := gw.NewAssignment(gw.KeySpace{}).WithRevision(5, "w")
+	c.replaceRecord(simEraRevisions+5, a, false)
+	c.reliefEpoch = 1
+	c.replaceRecord(2*simEraRevisions+3, a.WithRevision(3, "v"), false)
+	require.Zero(t, c.reliefEpoch)
+}
