lease, control, entry: order configurations as the feed does

What callers would see: a route that was added is not served, or a controller acts by an older configuration, until the next change.

Cause: since restores of the store the operators' number goes before the version. Three places still compared the version alone: the controller of a cell, which ignored a newer configuration of a lower version, and the entry host and the control loop, which took one of the same version as the same.

--- a/internal/process/gwcontrol/loop.go
+++ b/internal/process/gwcontrol/loop.go
@@ -58,7 +58,7 @@
 	cells map[gw.CellID]*cell
 	// appliedChange is the table's change channel at the time of the last applyTable.
 	appliedChange <-chan struct{}
-	configVersion gw.ConfigVersion
+	configVersion gw.ItemVersion
 	listingNumber uint64
 	calls         sync.WaitGroup
 	// stopWaiters holds the channels to close when no cell is controlled any more.
@@ -266,7 +266,7 @@
 	}
 	l.appliedChange = changed
 	state := l.table.State()
-	if state.Ready && state.Config.Version != l.configVersion {
+	if state.Ready && state.Config.ItemVersion() != l.configVersion {
 		l.configure(ctx, state.Config)
 	}
 	for _, c := range l.cells {
@@ -281,7 +281,7 @@
 
 // configure starts a controller for each new cell of this region and passes the configuration to all controllers.
 func (l *Loop) configure(ctx context.Context, cfg gw.Config) {
-	l.configVersion = cfg.Version
+	l.configVersion = cfg.ItemVersion()
 	for _, id := range cellsOf(cfg, l.self.Region) {
 		if _, ok := l.cells[id]; ok {
 			continue
--- a/internal/process/gwlease/core.go
+++ b/internal/process/gwlease/core.go
@@ -149,7 +149,7 @@
 }
 
 func (c *Core) configChanged(cfg gw.Config) {
-	if cfg.Version < c.cfg.Version {
+	if cfg.ItemVersion().Less(c.cfg.ItemVersion()) {
 		return
 	}
 	c.markReturningServersCold(cfg)
--- a/internal/process/gwlease/restore_test.go
+++ b/internal/process/gwlease/restore_test.go
@@ -32,6 +32,15 @@
 	require.EqualValues(t, 1, c.Controls(now.Add(c.opts.timing.Authority-time.Second)))
 }
 
+// Guards against a controller that stays on an older configuration because it was read from a restored store, whose
+// versions are higher.
+func TestNewerConfigOfAnEarlierEraIsUsed(t *testing.T) {
+	c := New(WithHost("h1", "h1#1"), WithCell(gw.CellID{Service: simService, DataCentre: "a"}, simRegion))
+	c.Step(time.Unix(0, 0), ConfigChanged{Config: gw.Config{Number: 7, Version: 2*simEraRevisions + 50}})
+	c.Step(time.Unix(0, 0), ConfigChanged{Config: gw.Config{Number: 10, Version: simEraRevisions + 100}})
+	require.EqualValues(t, 10, c.cfg.Number)
+}
+
 // outputOf returns the output of a type.
 func outputOf[T Output](t *testing.T, outputs []Output) T {
 	t.Helper()
--- a/internal/request/gwentry/handler.go
+++ b/internal/request/gwentry/handler.go
@@ -111,7 +111,7 @@
 		h.refuse(w, rc, r.ContentLength != 0, gw.Refuse(gw.ReasonNotReady, "this host has no configuration yet"))
 		return nil
 	}
-	c := &call{handler: h, in: r, rc: rc, started: time.Now(), version: x.version}
+	c := &call{handler: h, in: r, rc: rc, started: time.Now(), version: gw.ConfigVersion(x.version.Sequence)}
 	if refusal := c.readHead(x, c.started); refusal != nil {
 		c.logEnd(refusal, 0)
 		h.refuse(w, rc, r.ContentLength != 0, refusal)
@@ -195,7 +195,7 @@
 		return nil
 	}
 	x := h.index.Load()
-	if x == nil || x.version != cfg.Version {
+	if x == nil || x.version != cfg.ItemVersion() {
 		x = newConfigIndex(cfg)
 		h.index.Store(x)
 	}
--- a/internal/request/gwentry/index.go
+++ b/internal/request/gwentry/index.go
@@ -14,7 +14,7 @@
 
 // configIndex is a configuration with its services, tenants and routes indexed for lookups.
 type configIndex struct {
-	version  gw.ConfigVersion
+	version  gw.ItemVersion
 	services map[gw.ServiceName]gw.Service
 	tenants  map[gw.TenantName]gw.Tenant
 	// routes is sorted: routes for one host precede those for all hosts, and longer prefixes precede shorter ones.
@@ -23,7 +23,7 @@
 
 func newConfigIndex(cfg gw.Config) *configIndex {
 	x := &configIndex{
-		version:  cfg.Version,
+		version:  cfg.ItemVersion(),
 		services: make(map[gw.ServiceName]gw.Service, len(cfg.Services)),
 		tenants:  make(map[gw.TenantName]gw.Tenant, len(cfg.Tenants)),
 		routes:   slices.Clone(cfg.Routes),
