dispatch, lease, platform: servers that say they leave or ask for a pause

Cause: the header Server-Leaving of a server's answers and the Retry-After of its 503 were not read. A leaving server got requests until the store and the feed had told, and one that asked for a pause was sent to again after 5 ms.

What the list or another host says of the same run does not undo it; another run of the server does. An entry host that passes such an answer on is bound too. A pausing server starts nothing until the end of the pause; requests that cannot be answered after it are refused at once with a Retry-After that includes the queue; the next dispatcher is told; the server counts with the share of the next 2 s in which it takes requests. Entry hosts pass it over for that time.

--- a/internal/process/gwhost/adapters.go
+++ b/internal/process/gwhost/adapters.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	gw "github.com/geraniumworks/geraniumworks"
 	"github.com/geraniumworks/geraniumworks/internal/request/gwadmit"
@@ -43,6 +44,9 @@
 			result.Outcome = refusal.Reason.Outcome()
 			result.Reason = refusal.Reason
 			result.Overloaded = refusal.Reason == gw.ReasonOverloaded || refusal.Reason == gw.ReasonShed
+			if refusal.Reason == gw.ReasonShed && refusal.RetryAfterMilliseconds > 0 {
+				result.PausedUntil = time.Now().Add(time.Duration(refusal.RetryAfterMilliseconds) * time.Millisecond)
+			}
 		}
 		attempt.Done(result)
 	}
--- a/internal/process/gwhost/host.go
+++ b/internal/process/gwhost/host.go
@@ -147,6 +147,7 @@
 		gwrelay.WithConfig(config),
 		gwrelay.WithRegion(h.self.Region),
 		gwrelay.WithBarred(h.blocked),
+		gwrelay.WithLeaving(h.members.ReportLeaving),
 		gwrelay.WithLogger(h.log),
 		gwrelay.WithRegisterer(h.registry),
 	)
@@ -169,6 +170,7 @@
 		gwentry.WithLocal(h.relay),
 		gwentry.WithAdmission(admissionAdapter{h.admitter}),
 		gwentry.WithObserver(chooser),
+		gwentry.WithLeaving(h.members.ReportLeaving),
 		gwentry.WithCallerProtocol(h.backend.CallerProtocol),
 		gwentry.WithLogger(h.log),
 		gwentry.WithPolicy(gwretry.New(h.backend.retryOptions(h.registry)...)),
--- a/internal/process/gwlease/dispatch.go
+++ b/internal/process/gwlease/dispatch.go
@@ -179,6 +179,7 @@
 		}
 		if s.dispatch.host == h.entry.Name {
 			s.dispatch.report = d
+			c.noteSaid(s, d)
 			c.updateWarmup(s, d)
 			if c.service.OrderedKeys {
 				s.noteArrivals(c.now, d)
@@ -199,6 +200,19 @@
 	}
 }
 
+// noteSaid applies what a server has said in its answers to the dispatcher's requests.
+func (c *Core) noteSaid(s *server, d gw.DispatchedServer) {
+	if d.Incarnation != s.incarnation {
+		return
+	}
+	if d.Leaving && !s.saysLeaving {
+		s.saysLeaving = true
+		c.event(Event{Kind: EventServerLeaving, Server: s.entry.Name, Detail: string(s.incarnation)})
+		c.progressNow = true
+	}
+	s.pausedUntil = later(s.pausedUntil, c.now.Add(time.Duration(d.PauseMilliseconds)*time.Millisecond))
+}
+
 // adoptSender keeps the dispatcher that an earlier controller assigned.
 func (c *Core) adoptSender(s *server, h *host, d gw.DispatchedServer) {
 	s.dispatch.senders[h.entry.Name] = sender{instance: h.instance}
--- a/internal/process/gwlease/lease.go
+++ b/internal/process/gwlease/lease.go
@@ -86,7 +86,10 @@
 		d := gw.DispatchServer{
 			Name: s.entry.Name, Address: s.entry.Address, Incarnation: s.incarnation, ChecksFencing: s.checksFencing,
 			Slots: s.dispatch.slots, Connections: c.service.Limits.ConnectionsPerServer,
-			Leaving: s.draining || c.mustEmpty(s.entry), Revision: c.record.assignment.Revision,
+			Leaving: c.isLeaving(s), Revision: c.record.assignment.Revision,
+		}
+		if s.pausedUntil.After(c.now) {
+			d.PausedUntil = h.clock + gw.ClockMilliseconds(s.pausedUntil.Sub(h.clockAt).Milliseconds())
 		}
 		if cold := s.coldUntil.Sub(h.clockAt); s.coldUntil.After(c.now) {
 			d.ColdRequestsPerSecond = c.service.ColdRequestsPerSecond
--- a/internal/process/gwlease/loads.go
+++ b/internal/process/gwlease/loads.go
@@ -78,13 +78,26 @@
 	if mean <= 0 {
 		mean = c.cellMeanMilliseconds()
 	}
-	bears := float64(c.slots(s)) * 1000 / mean
+	bears := float64(c.slots(s)) * 1000 / mean * c.shareOutsidePause(s)
 	if cold := c.service.ColdRequestsPerSecond; cold > 0 && c.now.Before(s.coldUntil) {
 		return min(bears, cold)
 	}
 	return bears
 }
 
+// minPauseShare is the share of its capacity that a pausing server counts with at least, so that shares of loads stay
+// finite.
+const minPauseShare = 0.05
+
+// shareOutsidePause returns the share of the next arrivalWindow in which the server takes requests.
+func (c *Core) shareOutsidePause(s *server) float64 {
+	left := s.pausedUntil.Sub(c.now)
+	if left <= 0 {
+		return 1
+	}
+	return max(1-left.Seconds()/arrivalWindow.Seconds(), minPauseShare)
+}
+
 func (c *Core) cellMeanMilliseconds() float64 {
 	total, n := 0.0, 0
 	for _, s := range c.byName {
--- a/internal/process/gwlease/loads_test.go
+++ b/internal/process/gwlease/loads_test.go
@@ -55,3 +55,28 @@
 	other.Step(c.now, LoadsSeen{Loads: last})
 	require.Equal(t, last.Servers[0].Load, other.otherCellServers(nil)[0].Load)
 }
+
+// Guards against a server that says in its answers that it leaves and keeps its keys until the host list tells, and
+// against a pausing server that is given more keys, or forgotten when its dispatcher changes.
+func TestWhatServersSayInAnswers(t *testing.T) {
+	c := New(WithHost("h1", "h1#1"), WithCell(gw.CellID{Service: "lookups", DataCentre: "a"}, "holland"))
+	c.now = time.Unix(1000, 0)
+	c.service = gw.Service{Name: "lookups", DividedByKey: true, OrderedKeys: true}
+	s := c.addServer("s1")
+	s.answered, s.listed, s.checksFencing, s.rangeFences, s.sessionLive = true, true, true, true, true
+	s.incarnation, s.meanMilliseconds, s.entry.Slots = "s1/1", 100, 4
+	c.sortServers()
+	whole := c.capacity(s)
+	c.noteSaid(s, gw.DispatchedServer{Name: "s1", Incarnation: "s1/0", Leaving: true, PauseMilliseconds: 5000})
+	require.Equal(t, gw.ServerUp, c.state(s), "an earlier run said it")
+	c.noteSaid(s, gw.DispatchedServer{Name: "s1", Incarnation: "s1/1", PauseMilliseconds: 1000})
+	require.InDelta(t, whole/2, c.capacity(s), 0.01)
+	h := &host{clock: 500, clockAt: c.now}
+	require.Equal(t, gw.ClockMilliseconds(1500), c.leasedServers(h, []*server{s})[0].PausedUntil)
+	c.noteSaid(s, gw.DispatchedServer{Name: "s1", Incarnation: "s1/1", Leaving: true})
+	require.Equal(t, gw.ServerLeaving, c.state(s))
+	c.newIncarnation(s, gw.ServerStatus{Incarnation: "s1/2"})
+	s.sessionLive = true
+	require.Equal(t, gw.ServerUp, c.state(s))
+	require.InDelta(t, whole, c.capacity(s), 0.01)
+}
--- a/internal/process/gwlease/messages.go
+++ b/internal/process/gwlease/messages.go
@@ -181,6 +181,7 @@
 	EventSessionStarted    EventKind = "session-started"
 	EventSessionExpired    EventKind = "session-expired"
 	EventServerRestarted   EventKind = "server-restarted"
+	EventServerLeaving     EventKind = "server-leaving"
 	EventRangeMoved        EventKind = "range-moved"
 	EventRangeSplit        EventKind = "range-split"
 	EventRangeMerged       EventKind = "range-merged"
--- a/internal/process/gwlease/server.go
+++ b/internal/process/gwlease/server.go
@@ -21,6 +21,10 @@
 	seenID        uint64
 	checksFencing bool
 	draining      bool
+	// saysLeaving is set once a dispatcher has reported that the current incarnation says that it leaves. pausedUntil is
+	// until when it has asked its dispatcher for no requests.
+	saysLeaving bool
+	pausedUntil time.Time
 	// clock is the newest reading of the server's clock, which arrived at clockAt.
 	clock      gw.ClockMilliseconds
 	clockAt    time.Time
@@ -197,6 +201,11 @@
 	return e.State == gw.EntryLeaving || c.cfg.ServersOut(e.Name, e.DataCentre)
 }
 
+// isLeaving reports whether a server is to get no more work: it says so itself, or it must be emptied.
+func (c *Core) isLeaving(s *server) bool {
+	return s.draining || s.saysLeaving || c.mustEmpty(s.entry)
+}
+
 // state returns the state that the directory and the placement policy use.
 func (c *Core) state(s *server) gw.ServerState {
 	switch {
@@ -219,7 +228,7 @@
 			return gw.ServerExpired
 		}
 		return gw.ServerSuspect
-	case s.draining || c.mustEmpty(s.entry) || !s.listed:
+	case c.isLeaving(s) || !s.listed:
 		return gw.ServerLeaving
 	default:
 		return gw.ServerUp
--- a/internal/process/gwmembers/members.go
+++ b/internal/process/gwmembers/members.go
@@ -58,6 +58,8 @@
 	receivedAt func() time.Time
 	// leaving holds for each server that is leaving or no longer listed since when this may have been so.
 	leaving map[gw.ServerName]time.Time
+	// told holds the run of each server that has said in an answer that it leaves. The list may still name it as live.
+	told map[gw.ServerName]gw.Incarnation
 }
 
 // Option configures Members.
@@ -93,6 +95,7 @@
 		notify:  func(gw.Listing) {},
 		leaving: map[gw.ServerName]time.Time{},
 		parts:   map[gw.DataCentreName]uint64{},
+		told:    map[gw.ServerName]gw.Incarnation{},
 
 		receivedAt: func() time.Time { return time.Time{} },
 		reads: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -281,7 +284,11 @@
 	live := make(map[gw.ServerName]bool, len(after))
 	for _, s := range after {
 		if live[s.Name] = s.State == gw.EntryLive; live[s.Name] {
+			if run, ok := m.told[s.Name]; ok && run == s.Incarnation {
+				continue
+			}
 			delete(m.leaving, s.Name)
+			delete(m.told, s.Name)
 		} else if _, ok := m.leaving[s.Name]; !ok {
 			m.leaving[s.Name] = since
 		}
@@ -292,8 +299,9 @@
 		}
 	}
 	for name, at := range m.leaving {
-		if now.Sub(at) > leavingRetention {
+		if now.Sub(at) > leavingRetention && !live[name] {
 			delete(m.leaving, name)
+			delete(m.told, name)
 		}
 	}
 }
@@ -307,6 +315,22 @@
 	return since, ok
 }
 
+// ReportLeaving records that a run of a server has said in an answer that it leaves. It counts until the list names another
+// run of the server, whatever state it names for this one.
+func (m *Members) ReportLeaving(name gw.ServerName, run gw.Incarnation) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	i := slices.IndexFunc(m.listing.Servers, func(s gw.ServerEntry) bool { return s.Name == name })
+	if i >= 0 && m.listing.Servers[i].Incarnation != run {
+		// The answer of an earlier run says nothing about the present one.
+		return
+	}
+	m.told[name] = run
+	if _, ok := m.leaving[name]; !ok {
+		m.leaving[name] = time.Now()
+	}
+}
+
 // ApplyRemote takes over the hosts, and the servers of one data centre, of a listing that another host has read, as far as
 // they are newer than the latest ones.
 func (m *Members) ApplyRemote(listing gw.Listing) {
--- a/internal/process/gwmembers/members_test.go
+++ b/internal/process/gwmembers/members_test.go
@@ -127,3 +127,73 @@
 	m.read(context.Background())
 	require.Equal(t, 3, notified)
 }
+
+// Guards against a server that has said in an answer that it leaves and gets requests again, because the list still names
+// it as live, or another host passes on an older reading. Guards also against a server that starts again under its name
+// and stays out of use.
+func TestSaidLeavingOutlastsTheList(t *testing.T) {
+	entry := gw.ServerEntry{Name: "s1", DataCentre: "a", State: gw.EntryLive, Incarnation: "s1/1"}
+	list := &fixedList{listing: gw.Listing{Revision: 1, Servers: []gw.ServerEntry{entry}}}
+	m := New(list)
+	m.read(context.Background())
+	m.ReportLeaving("s1", "s1/0")
+	_, leaving := m.LeavingSince("s1")
+	require.False(t, leaving, "the answer of an earlier run is late")
+	m.ReportLeaving("s1", "s1/1")
+	since, leaving := m.LeavingSince("s1")
+	require.True(t, leaving)
+
+	list.listing.Revision = 2
+	m.read(context.Background())
+	m.ApplyRemote(gw.Listing{Revision: 3, DataCentre: "a", Servers: []gw.ServerEntry{entry}})
+	again, leaving := m.LeavingSince("s1")
+	require.True(t, leaving)
+	require.Equal(t, since, again)
+
+	entry.Incarnation = "s1/2"
+	m.ApplyRemote(gw.Listing{Revision: 4, DataCentre: "a", Servers: []gw.ServerEntry{entry}})
+	_, leaving = m.LeavingSince("s1")
+	require.False(t, leaving)
+}
+
+// Guards against servers of a data centre that are lost, or come back, when the readings of two hosts differ in age: each
+// data centre's servers are passed on apart.
+func TestNewerPartOfAListingHolds(t *testing.T) {
+	server := func(name gw.ServerName, dc gw.DataCentreName) gw.ServerEntry {
+		return gw.ServerEntry{Name: name, DataCentre: dc, State: gw.EntryLive}
+	}
+	list := &fixedList{listing: gw.Listing{
+		Revision: 5, HostsRevision: 5, Hosts: []gw.HostEntry{{Name: "h1"}},
+		Servers: []gw.ServerEntry{server("a1", "a"), server("b1", "b")},
+	}}
+	m := New(list)
+	m.read(context.Background())
+	names := func() []gw.ServerName {
+		l, _ := m.Listing()
+		var all []gw.ServerName
+		for _, s := range l.Servers {
+			all = append(all, s.Name)
+		}
+		return all
+	}
+	m.ApplyRemote(gw.Listing{Revision: 8, DataCentre: "b", Servers: []gw.ServerEntry{server("b2", "b")}})
+	m.ApplyRemote(gw.Listing{Revision: 4, DataCentre: "a"})
+	m.ApplyRemote(gw.Listing{HostsRevision: 7, Hosts: []gw.HostEntry{{Name: "h1"}, {Name: "h2"}}})
+	require.Equal(t, []gw.ServerName{"a1", "b2"}, names())
+
+	list.listing.Revision, list.listing.HostsRevision = 6, 6
+	list.listing.Servers = []gw.ServerEntry{server("a1", "a"), server("a2", "a"), server("b1", "b")}
+	m.read(context.Background())
+	require.Equal(t, []gw.ServerName{"a1", "a2", "b2"}, names(), "the own reading of b is older")
+	require.Len(t, m.Hosts(), 2)
+
+	list.listing.Revision, list.listing.HostsRevision = 9, 9
+	list.listing.Servers, list.listing.Hosts = []gw.ServerEntry{server("a1", "a")}, []gw.HostEntry{{Name: "h2"}}
+	m.read(context.Background())
+	require.Equal(t, []gw.ServerName{"a1"}, names())
+	require.Len(t, m.Hosts(), 1)
+
+	list.listing.Revision, list.listing.Servers = 0, nil
+	m.read(context.Background())
+	require.Equal(t, []gw.ServerName{"a1"}, names(), "a host that no longer reads servers relies on others")
+}
--- a/internal/request/gwchoice/chooser.go
+++ b/internal/request/gwchoice/chooser.go
@@ -168,6 +168,8 @@
 	Reason gw.Reason
 	// Overloaded is true when the server refused because it has too much work.
 	Overloaded bool
+	// PausedUntil is until when the server wants no requests, zero when it does not say.
+	PausedUntil time.Time
 }
 
 // Attempt is a request that this host has sent to a chosen server.
@@ -251,6 +253,9 @@
 			h.backoffUntil = now.Add(refusalBackoff << min(h.refusals, maxDoublings))
 			h.refusals++
 		}
+		if r.PausedUntil.After(h.backoffUntil) {
+			h.backoffUntil = r.PausedUntil
+		}
 		return
 	}
 	h.refusals = 0
--- a/internal/request/gwdispatch/lease.go
+++ b/internal/request/gwdispatch/lease.go
@@ -58,6 +58,9 @@
 		d.server(service, c, entry.Name).step(func(st *serverState, now time.Time) {
 			st.rateLimiter.set(d.origin, entry)
 			st.lease(now, entry, end, version)
+			if entry.PausedUntil > 0 && entry.Incarnation == st.incarnation {
+				st.pausedUntil = latest(st.pausedUntil, d.origin.Add(time.Duration(entry.PausedUntil)*time.Millisecond))
+			}
 		})
 	}
 	for name, s := range c.servers {
--- a/internal/request/gwdispatch/observe.go
+++ b/internal/request/gwdispatch/observe.go
@@ -17,6 +17,7 @@
 	if answering := result.Incarnation; answering != "" && answering != s.incarnation && answering != r.incarnation {
 		s.handleRestart(now, answering)
 	}
+	s.noteAnswer(r, result)
 	took := now.Sub(r.started)
 	if result.FirstByte.After(r.started) {
 		// The rest of the answer may be slow because of the caller.
@@ -56,6 +57,7 @@
 // handleRestart handles another incarnation of the server: it is cold, and no request of the former one runs any more.
 func (s *serverState) handleRestart(now time.Time, incarnation gw.Incarnation) {
 	s.incarnation = incarnation
+	s.pausedUntil = time.Time{}
 	s.serviceTimes = newServiceTimes()
 	s.recent = recentResults{}
 	for i := len(s.busy) - 1; i >= 0; i-- {
@@ -73,6 +75,7 @@
 	out := gw.DispatchedServer{
 		Name: s.server.Name, Incarnation: s.incarnation, Revision: s.server.Revision, InFlight: len(s.busy),
 		Answers: s.answers, Failures: s.failures,
+		Leaving: s.saysLeaving(), PauseMilliseconds: s.pauseLeft(now).Milliseconds(),
 	}
 	s.rates.report(now, &out)
 	s.answers, s.failures = 0, 0
--- a/internal/request/gwdispatch/order.go
+++ b/internal/request/gwdispatch/order.go
@@ -91,9 +91,9 @@
 func (s *serverState) drainTime(now time.Time, ahead int, mean time.Duration) time.Duration {
 	usable := s.slotLimiter.allowed(now, s.limits, s.server.Slots)
 	if usable <= 0 {
-		return 0
+		return s.pauseLeft(now)
 	}
-	return max(time.Duration(float64(mean)*float64(ahead+1)/usable), s.rateLimiter.minWait(now, ahead))
+	return s.pauseLeft(now) + max(time.Duration(float64(mean)*float64(ahead+1)/usable), s.rateLimiter.minWait(now, ahead))
 }
 
 // expectedServiceTime returns the mean service time. While there are too few recent answers for an estimate, it falls
--- a/internal/request/gwdispatch/server.go
+++ b/internal/request/gwdispatch/server.go
@@ -22,6 +22,10 @@
 	blocks  []block
 	// incarnation is the newest one, from a lease or from an answer; leasedIncarnation is that of the last lease.
 	incarnation, leasedIncarnation gw.Incarnation
+	// leavingIncarnation is the one that has said in an answer that it leaves. pausedUntil is until when the server has asked
+	// for no requests.
+	leavingIncarnation gw.Incarnation
+	pausedUntil        time.Time
 
 	slotLimiter slotLimiter
 	rateLimiter rateLimiter
@@ -54,7 +58,7 @@
 	s.freeExpired(now)
 	r.arrived = now
 	index, ref := s.check(now, r)
-	if ref == nil && s.server.Leaving && !r.HasKey {
+	if ref == nil && s.leaving() && !r.HasKey {
 		ref = gw.Refuse(gw.ReasonNoServer, "server is leaving")
 	}
 	if ref != nil {
@@ -66,6 +70,10 @@
 		s.arrivals.add(r.Position)
 	}
 	est := s.serviceTimes.estimate(now)
+	if s.pausedBeyond(now, r, est) {
+		s.refuse(r, s.busyRefusal(now, est, "the server has asked for a pause"))
+		return
+	}
 	if s.tooShort(now, r, est.P50) {
 		s.refuse(r, gw.Refuse(gw.ReasonDeadlineTooShort, "less time is left than the server's median service time"))
 		return
@@ -146,7 +154,7 @@
 
 // admits reports whether one more request may start now, and whether it would occupy the fractional slot.
 func (s *serverState) admits(now time.Time) (ok, fractional bool) {
-	if !s.rateLimiter.admits(now) {
+	if now.Before(s.pausedUntil) || !s.rateLimiter.admits(now) {
 		return false, false
 	}
 	return s.slotLimiter.admits(now, s.limits, s.server.Slots, len(s.busy))
@@ -283,6 +291,7 @@
 		}, s.refuse)
 	}
 	est := s.serviceTimes.estimate(now)
+	s.refusePaused(now, est)
 	s.shed(now, est)
 	for s.queue.length > 0 {
 		ok, fractional := s.admits(now)
@@ -311,6 +320,9 @@
 		}
 	}
 	if s.queue.length > 0 {
+		if now.Before(s.pausedUntil) {
+			earlier(s.pausedUntil)
+		}
 		earlier(s.queue.earliestDeadline())
 		earlier(s.sendEnd)
 		earlier(s.slotLimiter.wakeAt(now))
--- a/internal/request/gwdispatch/state_test.go
+++ b/internal/request/gwdispatch/state_test.go
@@ -146,6 +146,10 @@
 			return fmt.Errorf("unknown result %s", words[2])
 		}
 		result.Incarnation = gw.Incarnation(a["inc"])
+		_, result.Leaving = a["leaving"]
+		if until, ok := a["paused"]; ok {
+			result.PausedUntil = at(number(until))
+		}
 		s.state.finish(s.now, s.requests[words[1]], result)
 	case "cancel":
 		s.state.cancel(s.requests[words[1]])
@@ -178,6 +182,11 @@
 		default:
 			got = "no"
 		}
+	case "retry-after":
+		got = strconv.FormatInt(s.requests[words[1]].refusal.RetryAfterMilliseconds, 10)
+	case "reports":
+		d := s.state.status(s.now)
+		got = fmt.Sprintf("leaving=%t,pause=%d", d.Leaving, d.PauseMilliseconds)
 	case "busy":
 		got = strconv.Itoa(len(s.state.busy))
 	case "wake":
--- a/internal/request/gwentry/attempt.go
+++ b/internal/request/gwentry/attempt.go
@@ -153,6 +153,9 @@
 		done(0, res.refusal)
 		return res
 	}
+	if res.answer.Leaving && !target.Local {
+		c.handler.opts.Leaving(target.Server, res.answer.Incarnation)
+	}
 	res.answer.OnEnd(func(a *gwforward.Answer, _ bool) { done(a.Status, nil) })
 	return res
 }
--- a/internal/request/gwentry/handler.go
+++ b/internal/request/gwentry/handler.go
@@ -40,7 +40,7 @@
 func New(opts ...Option) *Handler {
 	o := Options{
 		HeaderBytes: DefaultHeaderBytes, RelayConnections: DefaultRelayConnections, Callers: gwforward.NativeCallers{},
-		Logger: slog.New(slog.DiscardHandler),
+		Logger: slog.New(slog.DiscardHandler), Leaving: func(gw.ServerName, gw.Incarnation) {},
 	}
 	for _, opt := range opts {
 		opt(&o)
--- a/internal/request/gwentry/options.go
+++ b/internal/request/gwentry/options.go
@@ -47,6 +47,7 @@
 	Local            Deliverer
 	Admission        Admission
 	Observer         Observer
+	Leaving          func(gw.ServerName, gw.Incarnation)
 	Forwarder        *gwforward.Forwarder
 	Callers          gw.CallerProtocol
 	Policy           *gwretry.Policy
@@ -90,6 +91,12 @@
 	return func(opts *Options) { opts.Observer = o }
 }
 
+// WithLeaving sets a function that is told which run of a server has said in an answer that it leaves. By default nobody
+// is told.
+func WithLeaving(leaving func(gw.ServerName, gw.Incarnation)) Option {
+	return func(o *Options) { o.Leaving = leaving }
+}
+
 // WithForwarder sets the forwarder that sends requests to relays. By default the handler creates one.
 func WithForwarder(f *gwforward.Forwarder) Option {
 	return func(o *Options) { o.Forwarder = f }
--- a/internal/request/gwforward/answer.go
+++ b/internal/request/gwforward/answer.go
@@ -31,6 +31,9 @@
 	Header      http.Header
 	Server      gw.ServerName
 	Incarnation gw.Incarnation
+	// Leaving and PausedUntil are what the server says about further requests, see gw.AttemptResult.
+	Leaving     bool
+	PausedUntil time.Time
 	// RequestID is the id of the attempt that was answered.
 	RequestID string
 	// FirstByte is the time at which the head arrived.
--- a/internal/request/gwforward/forward.go
+++ b/internal/request/gwforward/forward.go
@@ -50,6 +50,9 @@
 	// Status and Incarnation are those of the server's refusal. They are zero when the server sent none.
 	Status      int
 	Incarnation gw.Incarnation
+	// Leaving and PausedUntil are what the server says about further requests, see gw.AttemptResult.
+	Leaving     bool
+	PausedUntil time.Time
 }
 
 // Send sends the request at most once. It returns an answer of which at least the head has arrived, or a failure whose
@@ -105,7 +108,10 @@
 	answer := newAnswer(ctx, r, conn, resp)
 	answer.requestBody = body
 	if refusal := answer.check(f.servers, r.head(left)); refusal != nil {
-		return nil, &Failure{Refusal: refusal, Status: answer.Status, Incarnation: answer.Incarnation}, false
+		return nil, &Failure{
+			Refusal: refusal, Status: answer.Status, Incarnation: answer.Incarnation,
+			Leaving: answer.Leaving, PausedUntil: answer.PausedUntil,
+		}, false
 	}
 	return answer, nil, false
 }
@@ -158,7 +164,7 @@
 func (a *Answer) check(servers gw.ServerProtocol, attempt gw.Attempt) *gw.Refusal {
 	var head gw.ServerHead
 	if a.r.Relay {
-		head = relayHead(attempt, a.resp)
+		head = relayHead(servers, attempt, a.resp)
 	} else {
 		head = servers.Decode(attempt, a.resp.Request.Header, a.resp)
 	}
@@ -167,7 +173,10 @@
 		return gw.Refuse(gw.ReasonBadAnswer, head.Contradiction)
 	}
 	refusal := head.Refusal
-	a.Incarnation = head.Incarnation
+	a.Incarnation, a.Leaving = head.Incarnation, head.Leaving
+	if head.PauseMilliseconds > 0 {
+		a.PausedUntil = a.FirstByte.Add(time.Duration(head.PauseMilliseconds) * time.Millisecond)
+	}
 	switch {
 	case refusal == nil:
 		a.Header = endToEnd(a.resp.Header, addedHeaders)
@@ -179,13 +188,16 @@
 	return refusal
 }
 
-// relayHead decodes the head of a relay's answer.
-func relayHead(attempt gw.Attempt, resp *http.Response) gw.ServerHead {
+// relayHead decodes the head of a relay's answer, which may be that of a server.
+func relayHead(servers gw.ServerProtocol, attempt gw.Attempt, resp *http.Response) gw.ServerHead {
 	head := gw.ServerHead{Contradiction: contradiction(attempt.ID, resp), Refusal: relayRefusal(resp)}
 	if head.Contradiction == "" && len(resp.Header[gw.HeaderRequestID]) == 0 {
 		head.Contradiction = "the answer of the relay has no request id"
 	}
 	head.Incarnation = incarnationOf(resp)
+	if head.Contradiction == "" && head.Refusal == nil {
+		head.Leaving = servers.Leaving(resp.Header)
+	}
 	return head
 }
 
--- a/internal/request/gwforward/native.go
+++ b/internal/request/gwforward/native.go
@@ -88,3 +88,8 @@
 		Contradiction: contradiction(a.ID, answer), Refusal: serverRefusal(answer), Incarnation: incarnationOf(answer),
 	}
 }
+
+// Leaving implements gw.ServerProtocol. Servers that speak it are drained through their control calls.
+func (NativeServers) Leaving(http.Header) bool {
+	return false
+}
--- a/internal/request/gwrelay/options.go
+++ b/internal/request/gwrelay/options.go
@@ -16,6 +16,7 @@
 	Config     func() gw.Config
 	Region     gw.RegionName
 	Barred     func(gw.ServerName) bool
+	Leaving    func(gw.ServerName, gw.Incarnation)
 	Logger     *slog.Logger
 	Registerer prometheus.Registerer
 }
@@ -49,6 +50,12 @@
 	return func(o *Options) { o.Barred = barred }
 }
 
+// WithLeaving sets a function that is told which run of a server has said in an answer that it leaves. By default nobody
+// is told.
+func WithLeaving(leaving func(gw.ServerName, gw.Incarnation)) Option {
+	return func(o *Options) { o.Leaving = leaving }
+}
+
 // WithLogger sets the logger for the end of attempts. By default nothing is logged.
 func WithLogger(log *slog.Logger) Option {
 	return func(o *Options) { o.Logger = log }
--- a/internal/request/gwrelay/relay.go
+++ b/internal/request/gwrelay/relay.go
@@ -29,7 +29,8 @@
 // New returns a Relay.
 func New(opts ...Option) *Relay {
 	o := Options{
-		Barred: func(gw.ServerName) bool { return false }, Logger: slog.New(slog.DiscardHandler),
+		Barred:  func(gw.ServerName) bool { return false },
+		Leaving: func(gw.ServerName, gw.Incarnation) {}, Logger: slog.New(slog.DiscardHandler),
 	}
 	for _, opt := range opts {
 		opt(&o)
@@ -78,11 +79,21 @@
 	r.times.Since(sent, gwstage.StageServer, string(req.Target.Service))
 	if failed != nil {
 		cancel()
+		if failed.Leaving {
+			r.opts.Leaving(server.Name, server.Incarnation)
+		}
 		slot.Done(failureResult(failed))
 		r.countRefusal(failed.Reason)
 		r.logEnd(req, sent, server, failed.Refusal)
 		return nil, failed.Refusal
 	}
+	if answer.Leaving {
+		if answer.Incarnation == "" {
+			// The entry host learns from it which run of the server leaves.
+			answer.Incarnation = server.Incarnation
+		}
+		r.opts.Leaving(server.Name, answer.Incarnation)
+	}
 	answer.OnEnd(func(a *gwforward.Answer, complete bool) {
 		cancel()
 		r.reportEnd(slot, a, complete)
@@ -104,6 +115,7 @@
 	result := gw.AttemptResult{
 		Outcome: failed.Reason.Outcome(), Status: failed.Status, Incarnation: failed.Incarnation,
 		Overloaded: failed.Reason == gw.ReasonOverloaded || failed.Reason == gw.ReasonShed,
+		Leaving:    failed.Leaving, PausedUntil: failed.PausedUntil,
 	}
 	if result.Outcome == gw.OutcomeNotRun {
 		result.End = time.Now()
@@ -115,6 +127,7 @@
 func (r *Relay) reportEnd(slot gw.Slot, a *gwforward.Answer, complete bool) {
 	result := gw.AttemptResult{
 		Outcome: gw.OutcomeAnswered, Status: a.Status, Incarnation: a.Incarnation, FirstByte: a.FirstByte,
+		Leaving: a.Leaving, PausedUntil: a.PausedUntil,
 	}
 	if complete {
 		result.End = time.Now()
--- a/internal/request/gwretry/decide.go
+++ b/internal/request/gwretry/decide.go
@@ -94,6 +94,10 @@
 		}
 		return another
 	case gw.ReasonShed:
+		if f.HasKey && f.Refusal.RetryAfterMilliseconds > 0 {
+			// The server wants no requests for so long.
+			return Decision{Verdict: VerdictFinal}
+		}
 		if f.HasKey {
 			// A server that sheds a part of its requests although it has capacity may accept the next one.
 			return Decision{Verdict: VerdictRetry, NotBefore: f.Now.Add(shedDelay)}
--- a/internal/request/gwretry/policy_test.go
+++ b/internal/request/gwretry/policy_test.go
@@ -54,6 +54,20 @@
 	})
 }
 
+// Guards against a second request to a server that has asked for a pause, and against one that is not sent elsewhere.
+func TestPauseEndsRetriesAtTheOwner(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := FailedAttempt{
+		Refusal: gw.Refuse(gw.ReasonShed, "").WithRetryAfter(1500), HasKey: true, Repeatable: true, Replayable: true,
+		Attempts: 1, Now: now, Deadline: now.Add(5 * time.Second),
+	}
+	require.Equal(t, VerdictFinal, decide(f, 3).Verdict)
+	f.HasKey = false
+	d := decide(f, 3)
+	require.Equal(t, VerdictRetry, d.Verdict)
+	require.True(t, d.ExcludeServer)
+}
+
 // Guards against extra attempts beyond their share of requests, for any order of requests and extra attempts.
 func TestBudgetIsAShareOfRequests(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/peer.go
+++ b/peer.go
@@ -115,6 +115,8 @@
 	// ColdUntil is a reading of the receiver's clock until which the server bears its cold rate only.
 	ColdUntil             ClockMilliseconds `json:"cold-until-clock-milliseconds,omitempty"`
 	ColdRequestsPerSecond float64           `json:"cold-requests-per-second,omitempty"`
+	// PausedUntil is a reading of the receiver's clock until which the server has asked a dispatcher for no requests.
+	PausedUntil ClockMilliseconds `json:"paused-until-clock-milliseconds,omitempty"`
 	// OverrunMilliseconds is how long after the lease's deadline the receiver goes on sending while no controller has
 	// told it otherwise. It is zero for a server that relies on a single sender.
 	OverrunMilliseconds int64 `json:"overrun-milliseconds,omitempty"`
@@ -154,6 +156,10 @@
 	// Arrivals counts requests with a key since the last status, Positions are those of a part of them.
 	Arrivals  int64      `json:"arrivals,omitempty"`
 	Positions []Position `json:"positions,omitempty"`
+	// Leaving is set when the server has said in an answer that it leaves. PauseMilliseconds is for how much longer it wants
+	// no requests from the dispatcher.
+	Leaving           bool  `json:"leaving,omitempty"`
+	PauseMilliseconds int64 `json:"pause-milliseconds,omitempty"`
 	// MeanMilliseconds is the mean time that the server takes for a request, zero when it is not known.
 	MeanMilliseconds float64 `json:"mean-milliseconds,omitempty"`
 }
--- a/protocol.go
+++ b/protocol.go
@@ -46,6 +46,10 @@
 	// Refusal is set when the server states that it has not run the request and will not.
 	Refusal     *Refusal
 	Incarnation Incarnation
+	// Leaving is set when the server says that it leaves and is to get no new requests.
+	Leaving bool
+	// PauseMilliseconds is for how long the server wants no requests from this host, zero when it does not say.
+	PauseMilliseconds int64
 }
 
 // ServerProtocol translates between the request path and backend servers.
@@ -54,4 +58,6 @@
 	Encode(h http.Header, a Attempt)
 	// Decode reads the head of the answer to the attempt, whose headers were sent.
 	Decode(a Attempt, sent http.Header, answer *http.Response) ServerHead
+	// Leaving reports whether the head of an answer says that its server leaves.
+	Leaving(h http.Header) bool
 }
--- a/request.go
+++ b/request.go
@@ -73,6 +73,10 @@
 	Incarnation Incarnation
 	// Overloaded is true when the server refused the request because it has too much work.
 	Overloaded bool
+	// Leaving is set when the server has said that it leaves. PausedUntil is until when it has asked for no requests from
+	// this host, zero when it has not.
+	Leaving     bool
+	PausedUntil time.Time
 	// FirstByte and End are when the answer began and ended, zero when it did not. An unknown outcome without End
 	// occupies the slot until the request's deadline, since the server may still be running it.
 	FirstByte time.Time
