feed, members: no call of the host list under the feed's lock

Cause: the feed asked for the list of hosts while it held its lock, and who applies a listing asks the feed, under the lock of the list, for the age of what it received.

Test: TestHostsMayAskTheFeed, which hangs without the change.

--- a/internal/process/gwmembers/members.go
+++ b/internal/process/gwmembers/members.go
@@ -334,6 +334,8 @@
 // ApplyRemote takes over the hosts, and the servers of one data centre, of a listing that another host has read, as far as
 // they are newer than the latest ones.
 func (m *Members) ApplyRemote(listing gw.Listing) {
+	// The source of this time has a lock of its own.
+	knownAt := m.knownAt()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	changed := false
@@ -348,7 +350,7 @@
 		servers := sortedByName(append(others, m.withoutRemoved(listing.Servers)...))
 		// The other host may have read the list long ago, but not before the time at which this host last knew its own entries
 		// to be up to date.
-		m.recordLeaving(m.listing.Servers, servers, m.knownAt())
+		m.recordLeaving(m.listing.Servers, servers, knownAt)
 		m.listing.Servers, m.listing.Revision = servers, max(m.listing.Revision, listing.Revision)
 		m.parts[listing.DataCentre] = listing.Revision
 		changed = true
--- a/internal/request/gwentry/handler.go
+++ b/internal/request/gwentry/handler.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus/promauto"
 
 	gw "github.com/geraniumworks/geraniumworks"
+	"github.com/geraniumworks/geraniumworks/internal/connection/gwahead"
 	"github.com/geraniumworks/geraniumworks/internal/request/gwforward"
 	"github.com/geraniumworks/geraniumworks/internal/request/gwretry"
 	"github.com/geraniumworks/geraniumworks/internal/request/gwsplit"
@@ -106,6 +107,9 @@
 		return nil
 	}
 	defer h.gate.Leave()
+	ctx, release := gwahead.WhenLeft(r.Context())
+	defer release()
+	r = r.WithContext(ctx)
 	x := h.currentIndex()
 	if x == nil {
 		h.refuse(w, rc, r.ContentLength != 0, gw.Refuse(gw.ReasonNotReady, "this host has no configuration yet"))
@@ -117,13 +121,13 @@
 		h.refuse(w, rc, r.ContentLength != 0, refusal)
 		return nil
 	}
-	release, refusal := h.admit(r.Context(), c)
+	leave, refusal := h.admit(ctx, c)
 	if refusal != nil {
 		c.logEnd(refusal, 0)
 		h.refuse(w, rc, r.ContentLength != 0, refusal)
 		return nil
 	}
-	defer release()
+	defer leave()
 	h.serve(w, c)
 	return nil
 }
--- a/internal/version/gwfeed/delay_test.go
+++ b/internal/version/gwfeed/delay_test.go
@@ -109,3 +109,34 @@
 	known.Store(true)
 	require.Eventually(t, has, time.Second, time.Millisecond)
 }
+
+// Guards against a feed that asks for the list of hosts while it holds its lock: who applies that list asks the feed for
+// the age of what it received, and both waited for ever on most hosts of a large fleet.
+func TestHostsMayAskTheFeed(t *testing.T) {
+	hosts := testHosts()
+	hub := gwfeed.NewHub(func(gw.Item) error { return nil })
+	n := &network{feeds: map[string]*gwfeed.Feed{}, cut: map[string]bool{}}
+	var f *gwfeed.Feed
+	f = gwfeed.New(gwfeed.WithHub(hub), gwfeed.WithPeer(n), gwfeed.WithSelf(hosts[0], "self"),
+		gwfeed.WithSource(newSource()), gwfeed.WithHosts(func() []gw.HostEntry {
+			f.CurrentAt()
+			return hosts
+		}))
+	runFeed(t, f)
+	item, err := gw.NewItem("directory/x", gw.ItemVersion{Sequence: 1}, 1)
+	require.NoError(t, err)
+	published := make(chan error, 1)
+	go func() {
+		for range 20 {
+			time.Sleep(10 * time.Millisecond)
+			f.ReadMode()
+		}
+		published <- f.Publish(item)
+	}()
+	select {
+	case err := <-published:
+		require.NoError(t, err)
+	case <-time.After(5 * time.Second):
+		t.Fatal("the feed is blocked")
+	}
+}
--- a/internal/version/gwfeed/offer.go
+++ b/internal/version/gwfeed/offer.go
@@ -74,12 +74,13 @@
 // regions the first, since bytes between regions are dear and the second pulls from it. The second is offered them
 // too while the first does not accept.
 func (f *Feed) offerTargets() []gw.HostEntry {
+	relays := withoutHost(f.topologyOf().all, f.self.Name)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var targets []gw.HostEntry
 	failing := map[gw.DataCentreName]bool{}
 	seen := map[gw.DataCentreName]bool{}
-	for _, relay := range withoutHost(f.topologyOf().all, f.self.Name) {
+	for _, relay := range relays {
 		if relay.Region == f.self.Region || !seen[relay.DataCentre] || failing[relay.DataCentre] {
 			targets = append(targets, relay)
 		}
