forward, pool: no second attempt on the connection of a refusal

Cause: all attempts at a request bear the caller's id on the platform. A faulty server that writes its refusal once more on the kept connection was believed when the next attempt used that connection: the caller was told not-run for a request that the server runs.

Change: a connection remembers the id of the request that was refused on it, and is closed instead of being given to another attempt of the same request.

Ruled out: to close the connection after every refusal.

--- a/internal/connection/gwpool/conn.go
+++ b/internal/connection/gwpool/conn.go
@@ -16,6 +16,9 @@
 	created time.Time
 	// used is when the connection was last returned; Pool.mu guards it.
 	used time.Time
+	// refused is the caller's id of the last request that the server has refused on the connection. Only the request that
+	// uses the connection accesses it.
+	refused string
 
 	// holds counts what keeps the connection silent other than the server: a caller that does not send its
 	// body or does not take its answer.
@@ -37,6 +40,17 @@
 	return c.cc.RoundTrip(req)
 }
 
+// NoteRefused records the caller's id of a request that the server has refused on the connection.
+func (c *Conn) NoteRefused(callerID string) {
+	c.refused = callerID
+}
+
+// HasRefused reports whether the server has refused a request of the caller with this id on the connection. A faulty
+// server may write that refusal once more, and it would count for the next attempt, which bears the same id.
+func (c *Conn) HasRefused(callerID string) bool {
+	return callerID != "" && c.refused == callerID
+}
+
 // Hold stops the counting of silence until Resume, because the server is not the one that is waited for.
 func (c *Conn) Hold() {
 	c.holds.Add(1)
--- a/internal/request/gwforward/forward.go
+++ b/internal/request/gwforward/forward.go
@@ -90,6 +90,11 @@
 	if err != nil {
 		return nil, &Failure{Refusal: acquireRefusal(ctx, err)}, false
 	}
+	if !r.Relay && conn.HasRefused(r.CallerID) {
+		conn.Discard()
+		refusal := gw.Refuse(gw.ReasonNoServer, "the server has refused the request on each of its connections")
+		return nil, &Failure{Refusal: refusal}, true
+	}
 	left := r.timeLeft(time.Now())
 	if left <= 0 {
 		conn.Release()
@@ -173,6 +178,9 @@
 		return gw.Refuse(gw.ReasonBadAnswer, head.Contradiction)
 	}
 	refusal := head.Refusal
+	if refusal != nil {
+		a.conn.NoteRefused(a.r.CallerID)
+	}
 	a.Incarnation, a.Leaving = head.Incarnation, head.Leaving
 	if head.PauseMilliseconds > 0 {
 		a.PausedUntil = a.FirstByte.Add(time.Duration(head.PauseMilliseconds) * time.Millisecond)
