retry: hosts share the burst of retries that a service permits

Cause: each host could send five retries to a service at once, a twelfth of what the platform permits beside the ratio.

Change: the settings name the limit (platform.retry-slack, from the platform's bounds), and each host takes its share by the number of listed hosts, one at least.

Test: TestBurstIsSharedByAllHosts.

--- a/cmd/geraniumworks/platform.go
+++ b/cmd/geraniumworks/platform.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"log/slog"
 	"time"
 
@@ -28,9 +29,9 @@
 // host uses a twentieth of a core.
 const platformGCPercent = 40
 
-// platformRetryBurst is a twelfth of the retries that the platform allows a service beside the ratio, rounded
-// down: they are counted over all hosts.
-const platformRetryBurst = 5
+// platformRetrySlack is the number of retries that all hosts may send to a service in one burst when the settings do not
+// say.
+const platformRetrySlack = 60
 
 // platformLeaseOverrun covers the outages of the store that the platform announces, 9 s, since no controller can be
 // replaced meanwhile. Servers there run no more requests at once than they bear, and refuse the rest.
@@ -56,7 +57,7 @@
 		return gwhost.Backend{
 			Store: p.Store(), HostList: p.HostList(), Servers: p.Servers(), Configs: p,
 			CallerProtocol: p.CallerProtocol(), ServerProtocol: p.ServerProtocol(),
-			Timing: timing, RetryBurst: platformRetryBurst,
+			Timing: timing, RetrySlack: cmp.Or(settings.Platform.RetrySlack, platformRetrySlack),
 			Run: p.Run, Leave: p.Leave, SetReadMode: p.SetReadMode, SourceCurrent: p.SourceCurrent,
 		}
 	}
--- a/internal/process/gwhost/backend.go
+++ b/internal/process/gwhost/backend.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rotisserie/eris"
 
 	gw "github.com/geraniumworks/geraniumworks"
@@ -31,8 +30,9 @@
 	CallerProtocol gw.CallerProtocol
 	ServerProtocol gw.ServerProtocol
 	Timing         gwlease.Timing
-	// RetryBurst is the number of retries that this host may send to a service in one burst, zero for the default.
-	RetryBurst int
+	// RetrySlack is the number of retries that all hosts together may send to a service in one burst, beside a share of its
+	// requests. Zero means that there is no such limit.
+	RetrySlack int
 	// Run maintains the connections until its context ends; nil when nothing needs to run. Leave announces that this host
 	// is leaving; it may be nil too.
 	Run   func(ctx context.Context) error
@@ -80,10 +80,10 @@
 }
 
 // retryOptions returns the options of the retry policy.
-func (b Backend) retryOptions(r prometheus.Registerer) []gwretry.Option {
-	options := []gwretry.Option{gwretry.WithRegisterer(r)}
-	if b.RetryBurst > 0 {
-		options = append(options, gwretry.WithBurst(b.RetryBurst))
+func (h *Host) retryOptions() []gwretry.Option {
+	options := []gwretry.Option{gwretry.WithRegisterer(h.registry)}
+	if slack := h.backend.RetrySlack; slack > 0 {
+		options = append(options, gwretry.WithSharedBurst(func() int { return max(slack/max(h.members.HostCount(), 1), 1) }))
 	}
 	return options
 }
--- a/internal/process/gwhost/host.go
+++ b/internal/process/gwhost/host.go
@@ -173,7 +173,7 @@
 		gwentry.WithLeaving(h.members.ReportLeaving),
 		gwentry.WithCallerProtocol(h.backend.CallerProtocol),
 		gwentry.WithLogger(h.log),
-		gwentry.WithPolicy(gwretry.New(h.backend.retryOptions(h.registry)...)),
+		gwentry.WithPolicy(gwretry.New(h.retryOptions()...)),
 		gwentry.WithRegisterer(h.registry),
 	)
 }
--- a/internal/process/gwmembers/members.go
+++ b/internal/process/gwmembers/members.go
@@ -144,6 +144,13 @@
 	return listing.Hosts
 }
 
+// HostCount returns the number of hosts in the latest listing.
+func (m *Members) HostCount() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.listing.Hosts)
+}
+
 // Run reads the host list periodically, and whenever it reports a change, until ctx ends. While the list cannot be
 // read, the latest listing stays in use.
 func (m *Members) Run(ctx context.Context) error {
--- a/internal/process/gwsettings/settings.go
+++ b/internal/process/gwsettings/settings.go
@@ -51,6 +51,9 @@
 	StoreEndpoint string `json:"store-endpoint"`
 	// DataCentres are all data centres, including that of this host.
 	DataCentres []DataCentre `json:"data-centres"`
+	// RetrySlack is the number of retries that all hosts together may send to a service in one burst, beside a share of its
+	// requests. Zero means the default.
+	RetrySlack int `json:"retry-slack"`
 }
 
 // DataCentre is a data centre of the platform.
@@ -224,6 +227,9 @@
 
 func (s Settings) checkPlatform(fail func(field, problem, allowed string)) {
 	checkAddress("platform.store-endpoint", s.Platform.StoreEndpoint, fail)
+	if s.Platform.RetrySlack < 0 {
+		fail("platform.retry-slack", "is negative", "0 or more")
+	}
 	if s.Platform.Regions()[s.DataCentre] != s.Region {
 		fail("platform.data-centres", "does not give this host's data centre its region",
 			"every data centre with its region, that of this host included")
--- a/internal/request/gwretry/options.go
+++ b/internal/request/gwretry/options.go
@@ -14,8 +14,9 @@
 
 // Options are the settings of a Policy.
 type Options struct {
-	Attempts      int
-	Burst         int
+	Attempts int
+	// Burst returns the largest number of extra attempts that a budget holds at the moment.
+	Burst         func() int
 	HedgeQuantile float64
 	Registerer    prometheus.Registerer
 }
@@ -30,7 +31,13 @@
 
 // WithBurst sets the largest number of extra attempts that a budget holds.
 func WithBurst(n int) Option {
-	return func(o *Options) { o.Burst = n }
+	return WithSharedBurst(func() int { return n })
+}
+
+// WithSharedBurst sets a function that returns the largest number of extra attempts that a budget holds at the moment,
+// for a limit that several hosts share.
+func WithSharedBurst(burst func() int) Option {
+	return func(o *Options) { o.Burst = burst }
 }
 
 // WithHedgeQuantile sets the latency quantile after which a hedge is sent, in percent.
--- a/internal/request/gwretry/policy.go
+++ b/internal/request/gwretry/policy.go
@@ -34,7 +34,7 @@
 
 // New returns a Policy.
 func New(opts ...Option) *Policy {
-	o := Options{Attempts: DefaultAttempts, Burst: DefaultBurst, HedgeQuantile: DefaultHedgeQuantile}
+	o := Options{Attempts: DefaultAttempts, Burst: func() int { return DefaultBurst }, HedgeQuantile: DefaultHedgeQuantile}
 	for _, opt := range opts {
 		opt(&o)
 	}
@@ -65,7 +65,7 @@
 	defer p.mu.Unlock()
 	if s = p.services[name]; s == nil {
 		s = &ServicePolicy{
-			policy: p, retries: newBudget(p.opts.Burst), hedges: newBudget(p.opts.Burst),
+			policy: p, retries: newBudget(p.opts.Burst()), hedges: newBudget(p.opts.Burst()),
 			latency: newLatencyTracker(time.Now()),
 		}
 		p.services[name] = s
@@ -75,18 +75,20 @@
 
 // AddRequest adds the share of one request of a caller to the budgets.
 func (s *ServicePolicy) AddRequest(limits gw.ServiceLimits) {
+	burst := s.policy.opts.Burst()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.retries.deposit(limits.RetryPercent)
-	s.hedges.deposit(limits.HedgePercent)
+	s.retries.deposit(limits.RetryPercent, burst)
+	s.hedges.deposit(limits.HedgePercent, burst)
 }
 
 // Retry decides whether a refused attempt is retried. If so, it takes a retry from the budget.
 func (s *ServicePolicy) Retry(limits gw.ServiceLimits, f FailedAttempt) Decision {
 	d := decide(f, s.policy.opts.Attempts)
 	if d.Verdict == VerdictRetry {
+		burst := s.policy.opts.Burst()
 		s.mu.Lock()
-		if !s.retries.take(limits.RetryPercent) {
+		if !s.retries.take(limits.RetryPercent, burst) {
 			d.Verdict = VerdictBudget
 		}
 		s.mu.Unlock()
@@ -116,8 +118,9 @@
 
 // TakeHedge takes a hedge from the budget and reports whether the budget permits it.
 func (s *ServicePolicy) TakeHedge(limits gw.ServiceLimits) bool {
+	burst := s.policy.opts.Burst()
 	s.mu.Lock()
-	ok := s.hedges.take(limits.HedgePercent)
+	ok := s.hedges.take(limits.HedgePercent, burst)
 	s.mu.Unlock()
 	label := "false"
 	if ok {
--- a/internal/request/gwretry/policy_test.go
+++ b/internal/request/gwretry/policy_test.go
@@ -68,6 +68,29 @@
 	require.True(t, d.ExcludeServer)
 }
 
+// Guards against retries beyond a limit that counts over all hosts: with the burst of a dozen hosts, 295 hosts together could
+// send twice as many retries at once as a service permits.
+func TestBurstIsSharedByAllHosts(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, hosts := range []int{1, 12, 295} {
+		sent := 0
+		for range hosts {
+			policy := New(WithSharedBurst(func() int { return max(630/hosts, 1) })).Service("s")
+			limits := gw.ServiceLimits{RetryPercent: 15}
+			for range 100 {
+				d := policy.Retry(limits, FailedAttempt{
+					Refusal: gw.Refuse(gw.ReasonShed, ""), Repeatable: true, Replayable: true, Attempts: 1, Now: now,
+					Deadline: now.Add(time.Second),
+				})
+				if d.Verdict == VerdictRetry {
+					sent++
+				}
+			}
+		}
+		require.LessOrEqual(t, sent, 630, "%d hosts", hosts)
+	}
+}
+
 // Guards against extra attempts beyond their share of requests, for any order of requests and extra attempts.
 func TestBudgetIsAShareOfRequests(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -77,8 +100,8 @@
 		for _, isRequest := range rapid.SliceOfN(rapid.Bool(), 0, 500).Draw(t, "events") {
 			if isRequest {
 				requests++
-				b.deposit(percent)
-			} else if b.take(percent) {
+				b.deposit(percent, DefaultBurst)
+			} else if b.take(percent, DefaultBurst) {
 				extra++
 			}
 		}
