ahead, entry: requests sent ahead are worked on, and callers that leave behind them are noticed

Cause: net/http reads one byte while a handler runs, to notice that the caller leaves. The requests behind a slow one waited for their turn, with a deadline that counted from the turn and not from their arrival.

Requests that may be repeated and have no body are begun when they arrive, up to eight a connection, and answered in order when their turn comes; others wait. When the caller leaves or the connection ends, those that were begun are ended and may run again. During a planned stop those begun before it are answered; one behind them is refused as not run, and the connection is closed only when none that was begun is left. An answer that closes the connection leaves those behind it unread.

Ruled out: to notice the close only.

Tests: TestCallerThatSentAheadAndLeaves failed before for one further request; TestRequestsSentAhead, TestCallerLeavesRequestsSentAhead, TestStopWithRequestsSentAhead, TestRequestsSentAheadAreAnsweredInOrder, TestRequestsBehindASlowOneAreWorkedOn, TestRequestsAreAbandonedWithTheirConnection, FuzzFinder. All tests of the entry point now run over such connections.

--- a/internal/connection/gwahead/conn.go
+++ b/internal/connection/gwahead/conn.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 )
@@ -17,8 +18,25 @@
 // readBytes is the size of one read ahead. Heads of requests have a few hundred bytes.
 const readBytes = 2 << 10
 
+// maxPending bounds the requests of one connection that are worked on before their turn.
+const maxPending = 8
+
+// Starter begins to work on a request before its turn. ctx ends when the caller has left. It returns nil when the request
+// has to wait for its turn.
+type Starter func(ctx context.Context, r *http.Request) Pending
+
+// Pending is a request that is worked on before its turn.
+type Pending interface {
+	// Abandon ends it when its turn will not come.
+	Abandon()
+}
+
 // Listener wraps the connections of a listener in Conn.
-type Listener struct{ net.Listener }
+type Listener struct {
+	net.Listener
+	// Start begins to work on requests before their turn. Nil leaves them waiting.
+	Start Starter
+}
 
 // Accept implements net.Listener.
 func (l Listener) Accept() (net.Conn, error) {
@@ -26,16 +44,18 @@
 	if err != nil {
 		return nil, err
 	}
-	return NewConn(conn), nil
+	return NewConn(conn, l.Start), nil
 }
 
 // Conn is a connection of a caller.
 //
 // While a handler runs, net/http reads one byte to notice that the caller closes the connection. When the caller has sent
-// a further request, that byte arrives, and net/http looks no more. Conn then goes on reading into a buffer.
+// a further request, that byte arrives, and net/http looks no more. Conn then goes on reading into a buffer. It also finds
+// the requests in what is read, so that those that have to wait for their turn are worked on meanwhile.
 type Conn struct {
 	net.Conn
-	// left ends when the caller has closed the connection, or it has failed, while data was read ahead.
+	start Starter
+	// left ends when the caller has closed the connection, or it has failed or was closed here.
 	left  context.Context
 	leave context.CancelFunc
 
@@ -47,11 +67,18 @@
 	reading chan struct{}
 	// more is closed when ahead grows or the reading ends. It is nil when nobody waits.
 	more chan struct{}
+
+	finder finder
+	// begun counts the requests whose turn has come, and handling is set during the turn of the last one.
+	begun    int
+	handling bool
+	// pending holds the requests that are worked on before their turn, by their number on the connection.
+	pending map[int]Pending
 }
 
-// NewConn returns a Conn on a connection.
-func NewConn(conn net.Conn) *Conn {
-	c := &Conn{Conn: conn}
+// NewConn returns a Conn on a connection. start may be nil.
+func NewConn(conn net.Conn, start Starter) *Conn {
+	c := &Conn{Conn: conn, start: start, pending: map[int]Pending{}}
 	c.left, c.leave = context.WithCancel(context.Background())
 	return c
 }
@@ -85,12 +112,19 @@
 // readDirectly reads from the connection, and begins to read ahead when the read was that of net/http during a handler.
 func (c *Conn) readDirectly(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.leave()
+	}
+	if n == 0 {
+		return n, err
+	}
+	c.mu.Lock()
+	c.find(p[:n])
 	if n == 1 && len(p) == 1 && err == nil {
-		c.mu.Lock()
 		c.reading = make(chan struct{})
 		go c.readAhead(c.reading)
-		c.mu.Unlock()
 	}
+	c.mu.Unlock()
 	return n, err
 }
 
@@ -101,10 +135,10 @@
 		buf := make([]byte, readBytes)
 		n, err := c.Conn.Read(buf)
 		c.mu.Lock()
+		c.find(buf[:n])
 		c.ahead = append(c.ahead, buf[:n]...)
 		// A deadline that passes ends a read of net/http, not the connection.
-		ended := err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
-		if ended {
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			c.err = err
 			c.leave()
 		}
@@ -123,26 +157,48 @@
 	}
 }
 
+// find looks for requests in what was read, and starts those that have to wait for their turn. The caller holds mu.
+func (c *Conn) find(data []byte) {
+	if c.start == nil {
+		return
+	}
+	c.finder.add(data)
+	for {
+		number, head, ok := c.finder.next()
+		if !ok {
+			return
+		}
+		// The turn of the request comes at once if no other one is under way.
+		if number == c.begun+1 && !c.handling || len(c.pending) >= maxPending {
+			continue
+		}
+		r := head.request()
+		if r == nil {
+			continue
+		}
+		if p := c.start(c.left, r); p != nil {
+			c.pending[number] = p
+		}
+	}
+}
+
 // Close implements net.Conn. It returns when nothing is read ahead any more.
 func (c *Conn) Close() error {
 	err := c.Conn.Close()
+	c.leave()
 	c.mu.Lock()
-	reading := c.reading
+	reading, pending := c.reading, c.pending
+	c.pending = map[int]Pending{}
 	c.mu.Unlock()
 	if reading != nil {
 		<-reading
 	}
-	c.leave()
+	for _, p := range pending {
+		p.Abandon()
+	}
 	return err
 }
 
-// Ahead reports whether the caller has sent more than the requests that were taken so far.
-func (c *Conn) Ahead() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.ahead) > 0
-}
-
 type contextKey struct{}
 
 // WithConn is the ConnContext of an http.Server whose listener is a Listener.
@@ -153,17 +209,54 @@
 	return ctx
 }
 
-// WhenLeft returns a copy of the context of a request that also ends when its caller has left behind further requests. The
-// returned function releases its resources.
-func WhenLeft(ctx context.Context) (context.Context, context.CancelFunc) {
+// Turn is the turn of a request on its connection.
+type Turn struct {
+	// Pending is what was begun before the turn, nil when nothing was.
+	Pending Pending
+
+	conn    *Conn
+	release func()
+}
+
+// Begin begins the turn of the request whose context is given. It returns a copy of the context that also ends when the
+// caller has left behind further requests. Turn.End must be called.
+func Begin(ctx context.Context) (context.Context, Turn) {
 	c, ok := ctx.Value(contextKey{}).(*Conn)
 	if !ok {
-		return ctx, func() {}
+		return ctx, Turn{release: func() {}}
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	stop := context.AfterFunc(c.left, cancel)
-	return ctx, func() {
+	turn := Turn{conn: c, release: func() {
 		stop()
 		cancel()
+	}}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.begun++
+	c.handling = true
+	turn.Pending = c.pending[c.begun]
+	delete(c.pending, c.begun)
+	return ctx, turn
+}
+
+// HasFollowers reports whether requests behind this one are worked on already.
+func (t Turn) HasFollowers() bool {
+	if t.conn == nil {
+		return false
+	}
+	t.conn.mu.Lock()
+	defer t.conn.mu.Unlock()
+	return len(t.conn.pending) > 0
+}
+
+// End ends the turn.
+func (t Turn) End() {
+	t.release()
+	if t.conn == nil {
+		return
 	}
+	t.conn.mu.Lock()
+	defer t.conn.mu.Unlock()
+	t.conn.handling = false
 }
--- a/internal/connection/gwahead/conn_test.go
+++ b/internal/connection/gwahead/conn_test.go
@@ -16,22 +16,44 @@
 	"github.com/geraniumworks/geraniumworks/internal/connection/gwahead"
 )
 
+// started is a request that is worked on before its turn.
+type started struct {
+	ready     chan struct{}
+	answer    string
+	abandoned chan struct{}
+}
+
+func (s *started) Abandon() { close(s.abandoned) }
+
 // serve runs an HTTP server whose handler calls handle with the context that also ends when the caller has left, and
 // returns its address.
-func serve(t *testing.T, handle func(context.Context, http.ResponseWriter, *http.Request)) string {
+func serve(
+	t *testing.T, start gwahead.Starter, handle func(context.Context, http.ResponseWriter, *http.Request),
+) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	server := &http.Server{
 		ReadHeaderTimeout: time.Second, ConnContext: gwahead.WithConn,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			ctx, cancel := gwahead.WhenLeft(r.Context())
-			defer cancel()
+			ctx, turn := gwahead.Begin(r.Context())
+			defer turn.End()
+			if ctx.Err() != nil {
+				if turn.Pending != nil {
+					turn.Pending.Abandon()
+				}
+				panic(http.ErrAbortHandler)
+			}
+			if p, ok := turn.Pending.(*started); ok {
+				<-p.ready
+				_, _ = io.WriteString(w, p.answer)
+				return
+			}
 			handle(ctx, w, r)
 		}),
 	}
 	ended := make(chan error, 1)
-	go func() { ended <- server.Serve(gwahead.Listener{Listener: listener}) }()
+	go func() { ended <- server.Serve(gwahead.Listener{Listener: listener, Start: start}) }()
 	t.Cleanup(func() {
 		require.NoError(t, server.Close())
 		require.ErrorIs(t, <-ended, http.ErrServerClosed)
@@ -56,7 +78,7 @@
 	for name, further := range map[string]int{"no further request": 0, "one further request": 1, "many": 300} {
 		t.Run(name, func(t *testing.T) {
 			started, left := make(chan struct{}), make(chan struct{})
-			address := serve(t, func(ctx context.Context, _ http.ResponseWriter, _ *http.Request) {
+			address := serve(t, nil, func(ctx context.Context, _ http.ResponseWriter, _ *http.Request) {
 				close(started)
 				<-ctx.Done()
 				close(left)
@@ -83,7 +105,7 @@
 // Guards against requests that are lost, cut or answered out of order because they were read ahead, in pieces and beyond
 // what is read ahead, and against a connection that stays unusable after a timeout of net/http.
 func TestRequestsSentAheadAreAnsweredInOrder(t *testing.T) {
-	address := serve(t, func(_ context.Context, w http.ResponseWriter, r *http.Request) {
+	address := serve(t, nil, func(_ context.Context, w http.ResponseWriter, r *http.Request) {
 		time.Sleep(time.Millisecond)
 		body, err := io.ReadAll(r.Body)
 		if err == nil {
@@ -130,3 +152,91 @@
 	require.Equal(t, http.StatusOK, resp.StatusCode)
 	require.NoError(t, resp.Body.Close())
 }
+
+// Guards against a slow first request that makes those behind it worthless, and against answers that belong to another
+// request of the connection or come out of order. Requests with a body wait for their turn.
+func TestRequestsBehindASlowOneAreWorkedOn(t *testing.T) {
+	release := make(chan struct{})
+	all := make(chan string, 10)
+	address := serve(t, func(_ context.Context, r *http.Request) gwahead.Pending {
+		if r.Method != http.MethodGet {
+			return nil
+		}
+		all <- r.URL.Path
+		s := &started{ready: make(chan struct{}), answer: "early " + r.URL.Path}
+		close(s.ready)
+		return s
+	}, func(_ context.Context, w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/0" {
+			<-release
+		}
+		body, err := io.ReadAll(r.Body)
+		if err == nil {
+			_, _ = fmt.Fprintf(w, "turn %s %s", r.URL.Path, body)
+		}
+	})
+	conn := dial(t, address)
+	_, err := fmt.Fprintf(conn, request+request+"POST /2 HTTP/1.1\r\nHost: x\r\nContent-Length: 6\r\n\r\nGET /x"+request, 0, 1, 3)
+	require.NoError(t, err)
+	require.Equal(t, "/1", <-all)
+	require.Equal(t, "/3", <-all)
+	time.Sleep(20 * time.Millisecond)
+	_, err = fmt.Fprintf(conn, request, 4)
+	require.NoError(t, err)
+	require.Equal(t, "/4", <-all)
+	close(release)
+	r := bufio.NewReader(conn)
+	for _, want := range []string{"turn /0 ", "early /1", "turn /2 GET /x", "early /3", "early /4"} {
+		resp, err := http.ReadResponse(r, nil)
+		require.NoError(t, err)
+		body, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		require.Equal(t, want, string(body))
+	}
+	_, err = fmt.Fprintf(conn, request, 5)
+	require.NoError(t, err)
+	resp, err := http.ReadResponse(r, nil)
+	require.NoError(t, err)
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.Equal(t, "turn /5 ", string(body), "its turn comes at once")
+}
+
+// Guards against work for requests whose turn will not come, since the connection ends before.
+func TestRequestsAreAbandonedWithTheirConnection(t *testing.T) {
+	abandoned := make(chan struct{})
+	begun := make(chan context.Context, 1)
+	address := serve(t, func(ctx context.Context, _ *http.Request) gwahead.Pending {
+		begun <- ctx
+		return &started{ready: make(chan struct{}), abandoned: abandoned}
+	}, func(ctx context.Context, _ http.ResponseWriter, _ *http.Request) {
+		<-ctx.Done()
+	})
+	conn := dial(t, address)
+	_, err := fmt.Fprintf(conn, request+request, 0, 1)
+	require.NoError(t, err)
+	ctx := <-begun
+	require.NoError(t, conn.Close())
+	<-ctx.Done()
+	select {
+	case <-abandoned:
+	case <-time.After(3 * time.Second):
+		t.Fatal("the request is not abandoned")
+	}
+}
+
+// Guards against a crash, or a request that is found where there is none, in whatever a caller sends.
+func FuzzFinder(f *testing.F) {
+	f.Add([]byte("GET /1 HTTP/1.1\r\nHost: x\r\n\r\nPOST /2 HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabcGET /3 HTTP/1.1\r\n\r\n"))
+	f.Add([]byte("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n"))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		client, server := net.Pipe()
+		go func() {
+			_, _ = client.Write(data)
+			_ = client.Close()
+		}()
+		conn := gwahead.NewConn(server, func(context.Context, *http.Request) gwahead.Pending { return nil })
+		_, _ = io.Copy(io.Discard, conn)
+		_ = conn.Close()
+	})
+}
--- /dev/null
+++ b/internal/request/gwentry/ahead_test.go
@@ -0,0 +1,149 @@
+package gwentry_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	gw "github.com/geraniumworks/geraniumworks"
+)
+
+const aheadRequest = "%s /claims/%d HTTP/1.1\r\nHost: x\r\nGw-Tenant: harbour\r\nContent-Length: 0\r\n\r\n"
+
+// aheadScene is an entry host whose server answers the requests to /claims/0 only once release is closed.
+type aheadScene struct {
+	sys     *system
+	conn    net.Conn
+	reader  *bufio.Reader
+	release chan struct{}
+
+	mu     sync.Mutex
+	begun  []string
+	ended  int
+	change chan struct{}
+}
+
+func newAheadScene(t *testing.T) *aheadScene {
+	t.Helper()
+	s := &aheadScene{release: make(chan struct{}), change: make(chan struct{}, 100)}
+	server := echoServer(t, func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		s.begun = append(s.begun, r.Method+" "+r.URL.Path)
+		s.mu.Unlock()
+		s.change <- struct{}{}
+		if strings.HasSuffix(r.URL.Path, "/0") {
+			select {
+			case <-s.release:
+			case <-r.Context().Done():
+			}
+		}
+		s.mu.Lock()
+		s.ended++
+		s.mu.Unlock()
+		_, _ = io.WriteString(w, r.URL.Path)
+	})
+	s.sys = newSystem(t, setup{
+		local: true, servers: map[gw.ServerName]string{"s1": server},
+		limits: gw.ServiceLimits{DeadlineMilliseconds: 8000, ProgressMilliseconds: 8000},
+	})
+	conn, err := net.Dial("tcp", s.sys.server.Listener.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	require.NoError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
+	s.conn, s.reader = conn, bufio.NewReader(conn)
+	return s
+}
+
+func (s *aheadScene) send(t *testing.T, method string, numbers ...int) {
+	t.Helper()
+	all := ""
+	for _, n := range numbers {
+		all += fmt.Sprintf(aheadRequest, method, n)
+	}
+	_, err := io.WriteString(s.conn, all)
+	require.NoError(t, err)
+}
+
+func (s *aheadScene) read(t *testing.T) (*http.Response, string) {
+	t.Helper()
+	resp, err := http.ReadResponse(s.reader, nil)
+	require.NoError(t, err)
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	return resp, string(body)
+}
+
+// Guards against a slow first request that makes those behind it late, against answers in another order than the requests,
+// and against a request that may not be repeated and is begun before its turn.
+func TestRequestsSentAhead(t *testing.T) {
+	s := newAheadScene(t)
+	s.send(t, http.MethodGet, 0, 1)
+	<-s.change
+	<-s.change
+	s.send(t, http.MethodGet, 2)
+	<-s.change
+	s.send(t, http.MethodPost, 3)
+	s.send(t, http.MethodGet, 4)
+	<-s.change
+	time.Sleep(50 * time.Millisecond)
+	s.mu.Lock()
+	require.ElementsMatch(t, []string{"GET /claims/0", "GET /claims/1", "GET /claims/2", "GET /claims/4"}, s.begun)
+	s.mu.Unlock()
+	close(s.release)
+	for n := range 5 {
+		resp, body := s.read(t)
+		require.Equal(t, http.StatusOK, resp.StatusCode)
+		require.Equal(t, fmt.Sprintf("/claims/%d", n), body)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	require.Len(t, s.begun, 5, "none ran twice")
+}
+
+// Guards against servers that go on with the requests of a caller that has left, and against slots that are never free.
+func TestCallerLeavesRequestsSentAhead(t *testing.T) {
+	s := newAheadScene(t)
+	s.send(t, http.MethodGet, 0, 0, 0)
+	for range 3 {
+		<-s.change
+	}
+	require.NoError(t, s.conn.Close())
+	eventually(t, func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		open, _ := s.sys.dispatcher.state()
+		return s.ended == 3 && open == 0
+	}, "the servers go on")
+	s.sys.entry.Stop()
+	require.NoError(t, s.sys.entry.Wait(t.Context()), "a request is counted as running for ever")
+}
+
+// Guards against a planned stop that closes a connection on which requests are still answered: those that were begun
+// before it are answered, one behind them is told that it has not run.
+func TestStopWithRequestsSentAhead(t *testing.T) {
+	s := newAheadScene(t)
+	s.send(t, http.MethodGet, 0, 1)
+	<-s.change
+	<-s.change
+	s.sys.entry.Stop()
+	s.send(t, http.MethodGet, 2)
+	time.Sleep(50 * time.Millisecond)
+	close(s.release)
+	for n := range 2 {
+		resp, body := s.read(t)
+		require.Equal(t, http.StatusOK, resp.StatusCode)
+		require.Equal(t, fmt.Sprintf("/claims/%d", n), body)
+	}
+	resp, _ := s.read(t)
+	require.Equal(t, string(gw.OutcomeNotRun), resp.Header.Get(gw.HeaderOutcome))
+	require.True(t, resp.Close)
+	require.NoError(t, s.sys.entry.Wait(t.Context()))
+}
--- a/internal/request/gwentry/fakes_test.go
+++ b/internal/request/gwentry/fakes_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	gw "github.com/geraniumworks/geraniumworks"
+	"github.com/geraniumworks/geraniumworks/internal/connection/gwahead"
 	"github.com/geraniumworks/geraniumworks/internal/connection/gwpool"
 	"github.com/geraniumworks/geraniumworks/internal/request/gwentry"
 	"github.com/geraniumworks/geraniumworks/internal/request/gwforward"
@@ -216,7 +217,9 @@
 		gwentry.WithLocal(sys.relay), gwentry.WithForwarder(forwarder),
 		gwentry.WithPolicy(gwretry.New()), gwentry.WithLogger(s.log),
 	)
-	sys.server = start(t, gwforward.NewServer(sys.entry, gwentry.DefaultHeaderBytes))
+	sys.server = startOn(t, gwforward.NewServer(sys.entry, gwentry.DefaultHeaderBytes), func(l net.Listener) net.Listener {
+		return gwahead.Listener{Listener: l, Start: sys.entry.Ahead}
+	})
 	sys.url = sys.server.URL
 	sys.client = &http.Client{Transport: &http.Transport{DisableCompression: true}}
 	t.Cleanup(sys.client.CloseIdleConnections)
@@ -224,9 +227,16 @@
 }
 
 func start(t testing.TB, server *http.Server) *httptest.Server {
+	t.Helper()
+	return startOn(t, server, func(l net.Listener) net.Listener { return l })
+}
+
+// startOn starts a server on a listener that wrap returns.
+func startOn(t testing.TB, server *http.Server, wrap func(net.Listener) net.Listener) *httptest.Server {
 	t.Helper()
 	s := httptest.NewUnstartedServer(nil)
 	s.Config = server
+	s.Listener = wrap(s.Listener)
 	s.Start()
 	t.Cleanup(s.Close)
 	return s
--- a/internal/request/gwentry/handler.go
+++ b/internal/request/gwentry/handler.go
@@ -101,21 +101,36 @@
 	// Clears the write deadline that an earlier request on the connection has set. Writers without deadline support occur
 	// in tests only and have no slow caller.
 	_ = rc.SetWriteDeadline(time.Time{})
+	ctx, turn := gwahead.Begin(r.Context())
+	defer turn.End()
+	r = r.WithContext(ctx)
+	p, begun := turn.Pending.(*pendingCall)
+	switch {
+	case begun && ctx.Err() == nil && p.matches(r):
+		h.deliver(w, rc, p)
+		return nil
+	case begun:
+		p.Abandon()
+	}
+	if ctx.Err() != nil {
+		// The caller has left, and nobody reads an answer.
+		panic(http.ErrAbortHandler)
+	}
 	if !h.gate.Enter() {
-		w.Header().Set("Connection", "close")
+		if !turn.HasFollowers() {
+			w.Header().Set("Connection", "close")
+		}
 		h.refuse(w, rc, r.ContentLength != 0, gw.Refuse(gw.ReasonStopping, "this host is stopping"))
 		return nil
 	}
 	defer h.gate.Leave()
-	ctx, release := gwahead.WhenLeft(r.Context())
-	defer release()
-	r = r.WithContext(ctx)
 	x := h.currentIndex()
 	if x == nil {
 		h.refuse(w, rc, r.ContentLength != 0, gw.Refuse(gw.ReasonNotReady, "this host has no configuration yet"))
 		return nil
 	}
-	c := &call{handler: h, in: r, rc: rc, started: time.Now(), version: gw.ConfigVersion(x.version.Sequence)}
+	c := h.newCall(r, x)
+	c.rc = rc
 	if refusal := c.readHead(x, c.started); refusal != nil {
 		c.logEnd(refusal, 0)
 		h.refuse(w, rc, r.ContentLength != 0, refusal)
@@ -132,6 +147,10 @@
 	return nil
 }
 
+func (h *Handler) newCall(r *http.Request, x *configIndex) *call {
+	return &call{handler: h, in: r, started: time.Now(), version: gw.ConfigVersion(x.version.Sequence)}
+}
+
 // serve runs an admitted request.
 func (h *Handler) serve(w http.ResponseWriter, c *call) {
 	if refusal := c.readBody(); refusal != nil {
@@ -139,18 +158,25 @@
 		h.refuse(w, c.rc, true, refusal)
 		return
 	}
-	ctx, cancel := context.WithDeadline(c.in.Context(), c.deadline)
-	defer cancel()
+	defer c.finish()
+	answer, refusal := h.attempt(c.in.Context(), c)
+	h.write(w, c, answer, refusal)
+}
+
+// attempt makes the attempts of a call.
+func (h *Handler) attempt(ctx context.Context, c *call) (*gwforward.Answer, *gw.Refusal) {
+	ctx, cancel := context.WithDeadline(ctx, c.deadline)
+	c.cleanup = append(c.cleanup, cancel)
+	// An answer whose head has arrived cannot be replaced any more.
 	detach := context.AfterFunc(h.ending, cancel)
 	defer detach()
-	defer c.finish()
 	c.retries = h.opts.Policy.Service(c.service.Name)
 	c.retries.AddRequest(c.service.Limits)
-	answer, refusal := c.run(ctx)
-	if answer != nil {
-		// An answer whose head has arrived cannot be replaced any more.
-		detach()
-	}
+	return c.run(ctx)
+}
+
+// write passes the answer of a call on, or its refusal.
+func (h *Handler) write(w http.ResponseWriter, c *call, answer *gwforward.Answer, refusal *gw.Refusal) {
 	if answer != nil && !c.in.ProtoAtLeast(1, 1) && !answer.LengthKnown() {
 		// In HTTP/1.0 such an answer ends when the connection closes, so that a cut could not be told from its end.
 		answer.Close()
