forward: probes for a free slot do not carry their body

Cause: a request of an undivided service asks up to three dispatchers for a free slot, and each got the whole body. When servers are busy most are refused.

Change: a probe with a body above 2 KB waits for the dispatcher's consent, as large bodies to other regions do.

--- a/internal/request/gwforward/request.go
+++ b/internal/request/gwforward/request.go
@@ -96,11 +96,17 @@
 // body takes several round trips, and bytes between regions are paid for.
 const consentThresholdBytes = 16 << 10
 
+// probeThresholdBytes is the same for a request that only asks for a free slot. When servers are busy most such requests
+// are refused, and each would take its body to another data centre in vain.
+const probeThresholdBytes = 2 << 10
+
 // needsConsent reports whether this host asks the receiver for consent before it sends the body, although the caller
 // did not ask for it.
 func (r *Request) needsConsent() bool {
-	return r.Relay && r.Target.RemoteRegion && r.Body.src == nil && !r.Body.expectsContinue &&
-		r.Body.length > consentThresholdBytes
+	if !r.Relay || r.Body.src != nil || r.Body.expectsContinue {
+		return false
+	}
+	return r.NoWait && r.Body.length > probeThresholdBytes || r.Target.RemoteRegion && r.Body.length > consentThresholdBytes
 }
 
 // outgoing returns the HTTP request to send. It has no GetBody and its body cannot be rewound, so that no lower layer
