feed: what applies an item may ask for the age of what was received

Cause: the time of the last answer of a relay had the feed's lock. Looking up what to offer takes that lock and then the hub's; applying a listing holds the hub's and asked for that time.

Change: the time is read without a lock.

Test: TestAppliedItemsMayAskTheFeed, which hangs with the lock.

--- a/internal/version/gwfeed/delay_test.go
+++ b/internal/version/gwfeed/delay_test.go
@@ -140,3 +140,38 @@
 		t.Fatal("the feed is blocked")
 	}
 }
+
+// Guards against a feed that waits for ever because what applies an item asks it for the age of what it received, while it
+// looks up what to offer: relays of half of the data centres of a large fleet kept the state of their start.
+func TestAppliedItemsMayAskTheFeed(t *testing.T) {
+	hosts := testHosts()
+	n := &network{feeds: map[string]*gwfeed.Feed{}, cut: map[string]bool{}}
+	var f *gwfeed.Feed
+	hub := gwfeed.NewHub(func(gw.Item) error {
+		f.CurrentAt()
+		return nil
+	})
+	f = gwfeed.New(gwfeed.WithHub(hub), gwfeed.WithPeer(n), gwfeed.WithSelf(hosts[0], "self"),
+		gwfeed.WithSource(newSource()), gwfeed.WithHosts(func() []gw.HostEntry { return hosts }))
+	runFeed(t, f)
+	published := make(chan error, 1)
+	go func() {
+		for sequence := range uint64(20_000) {
+			item, err := gw.NewItem("directory/x", gw.ItemVersion{Sequence: sequence + 1}, 1)
+			if err == nil {
+				err = f.Publish(item)
+			}
+			if err != nil {
+				published <- err
+				return
+			}
+		}
+		published <- nil
+	}()
+	select {
+	case err := <-published:
+		require.NoError(t, err)
+	case <-time.After(10 * time.Second):
+		t.Fatal("the feed is blocked")
+	}
+}
--- a/internal/version/gwfeed/feed.go
+++ b/internal/version/gwfeed/feed.go
@@ -68,6 +68,9 @@
 	topology      atomic.Pointer[topology]
 	// createdAt is when the process created the feed.
 	createdAt time.Time
+	// currentAt is when a relay with a current source last answered, nil before the first time. It has no lock, since what
+	// applies an item may ask for it.
+	currentAt atomic.Pointer[time.Time]
 
 	mu       sync.Mutex
 	own      map[gw.Topic]struct{}
@@ -78,9 +81,8 @@
 	refused map[gw.HostName]bool
 	// firstAnswered is when the first relay in the order of this host last answered a pull.
 	firstAnswered time.Time
-	// heardAt is when a relay or the store last answered, currentAt when a relay with a current source did.
-	heardAt   time.Time
-	currentAt time.Time
+	// heardAt is when a relay or the store last answered.
+	heardAt time.Time
 	trusted   bool
 	ready     chan struct{}
 }
@@ -275,9 +277,8 @@
 	err = f.put("relay", reply.Items)
 	f.heard()
 	if reply.SourceCurrent {
-		f.mu.Lock()
-		f.currentAt = time.Now()
-		f.mu.Unlock()
+		now := time.Now()
+		f.currentAt.Store(&now)
 	}
 	return len(reply.Items) > 0, err
 }
--- a/internal/version/gwfeed/readmode.go
+++ b/internal/version/gwfeed/readmode.go
@@ -39,17 +39,15 @@
 
 // current reports whether a relay whose source is current has answered this host lately.
 func (f *Feed) current() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return time.Since(f.currentAt) < currentFor
+	at := f.currentAt.Load()
+	return at != nil && time.Since(*at) < currentFor
 }
 
 // CurrentAt returns the last time at which what this host received was known to be up to date, zero before the first time.
 func (f *Feed) CurrentAt() time.Time {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.currentAt.IsZero() {
+	at := f.currentAt.Load()
+	if at == nil {
 		return time.Time{}
 	}
-	return f.currentAt.Add(-sourceCycle)
+	return at.Add(-sourceCycle)
 }
