--- a/internal/process/gwcontrol/loop.go
+++ b/internal/process/gwcontrol/loop.go
@@ -1,4 +1,5 @@
-// Package gwcontrol runs the controllers of all cells that this host may control, in one goroutine.
+// Package gwcontrol runs the controllers of the cells that this host controls or may soon have to control, in one
+// goroutine. Their number is bounded by the number of cells, not by that of hosts.
 //
 // A cell is the set of servers of one service in one data centre. Its controller is a state machine (package gwlease):
 // this package feeds it inputs and executes the actions that it returns.
@@ -8,7 +9,9 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -56,11 +59,16 @@
 	stopRequests chan chan struct{}
 
 	cells map[gw.CellID]*cell
+	// standing is set while there are cells.
+	standing atomic.Bool
+	// hosts are the hosts of the listing for which the cells were last chosen.
+	hosts []gw.HostEntry
 	// appliedChange is the table's change channel at the time of the last applyTable.
 	appliedChange <-chan struct{}
 	configVersion gw.ItemVersion
 	listingNumber uint64
 	calls         sync.WaitGroup
+	stopping      bool
 	// stopWaiters holds the channels to close when no cell is controlled any more.
 	stopWaiters []chan struct{}
 }
@@ -71,9 +79,10 @@
 	space      gw.KeySpace
 	controller *gwlease.Core
 	placer     gw.Placer
-	// directoryVersions holds the versions of other cells' directories that the controller has received, and
-	// recordVersion the version of the assignment.
+	// directoryVersions and loadVersions hold the versions of other cells' directories and loads that the controller has
+	// received, and recordVersion the version of the assignment.
 	directoryVersions map[gw.CellID]gw.ItemVersion
+	loadVersions      map[gw.CellID]gw.ItemVersion
 	recordVersion     gw.StoreVersion
 	// nextPlacement is the earliest time for the next call of the placement policy.
 	nextPlacement time.Time
@@ -149,6 +158,11 @@
 	return reply, nil
 }
 
+// StandsBy reports whether this host controls cells or may soon have to. It may be called from any goroutine.
+func (l *Loop) StandsBy() bool {
+	return l.standing.Load()
+}
+
 // runTask runs do in the goroutine of Run and waits until it returns.
 func (l *Loop) runTask(ctx context.Context, do func(context.Context)) error {
 	done := make(chan struct{})
@@ -245,6 +259,9 @@
 
 func (l *Loop) tick(ctx context.Context) {
 	listing, number := l.listing()
+	if number != l.listingNumber && !slices.Equal(listing.Hosts, l.hosts) {
+		l.chooseCells(ctx, listing.Hosts)
+	}
 	for _, c := range l.cells {
 		if number != l.listingNumber {
 			l.step(ctx, c, gwlease.HostsListed{Listing: listing})
@@ -270,33 +287,70 @@
 		l.configure(ctx, state.Config)
 	}
 	for _, c := range l.cells {
-		l.applyDirectories(ctx, c, state)
-		r, ok := state.Assignments[c.space]
-		if ok && r.StoreVersion > c.recordVersion {
-			c.recordVersion = r.StoreVersion
-			l.step(ctx, c, gwlease.AssignmentRead{Found: true, Version: r.StoreVersion, Assignment: r.Assignment})
+		l.applyItems(ctx, c, state)
+	}
+}
+
+// applyItems passes newer items of the table to the controller of a cell.
+func (l *Loop) applyItems(ctx context.Context, c *cell, state gwtable.State) {
+	l.applyDirectories(ctx, c, state)
+	for id, loads := range state.Loads {
+		if id.Service == c.id.Service && c.loadVersions[id].Less(loads.Version()) {
+			c.loadVersions[id] = loads.Version()
+			l.step(ctx, c, gwlease.LoadsSeen{Loads: loads})
 		}
 	}
+	r, ok := state.Assignments[c.space]
+	if ok && r.StoreVersion > c.recordVersion {
+		c.recordVersion = r.StoreVersion
+		l.step(ctx, c, gwlease.AssignmentRead{Found: true, Version: r.StoreVersion, Assignment: r.Assignment})
+	}
 }
 
-// configure starts a controller for each new cell of this region and passes the configuration to all controllers.
+// configure passes the configuration to all controllers, after starting those that it makes necessary.
 func (l *Loop) configure(ctx context.Context, cfg gw.Config) {
 	l.configVersion = cfg.ItemVersion()
-	for _, id := range cellsOf(cfg, l.self.Region) {
-		if _, ok := l.cells[id]; ok {
-			continue
-		}
-		c := l.newCell(id, cfg)
-		l.cells[id] = c
-		if listing, number := l.listing(); number > 0 {
-			l.step(ctx, c, gwlease.HostsListed{Listing: listing})
-		}
-	}
+	listing, _ := l.listing()
+	l.chooseCells(ctx, listing.Hosts)
 	for _, c := range l.cells {
 		l.step(ctx, c, gwlease.ConfigChanged{Config: cfg})
 	}
 }
 
+// chooseCells starts a controller for each cell that this host may soon have to control, and drops those that it no
+// longer needs. With a controller for every cell of the region, a host of a large fleet spent a quarter of its processor
+// time on cells that it would never control.
+func (l *Loop) chooseCells(ctx context.Context, hosts []gw.HostEntry) {
+	l.hosts = hosts
+	state := l.table.State()
+	if !state.Ready {
+		return
+	}
+	for _, id := range cellsOf(state.Config, l.self.Region) {
+		c, ok := l.cells[id]
+		needed := gwlease.StandsBy(id, l.self, state.Config, hosts)
+		switch {
+		case needed && !ok && !l.stopping:
+			l.startCell(ctx, id, state)
+		case !needed && ok && c.controller.Dormant():
+			delete(l.cells, id)
+		}
+	}
+	l.counters.standby.Set(float64(len(l.cells)))
+	l.standing.Store(len(l.cells) > 0)
+}
+
+// startCell starts the controller of a cell with what is known already.
+func (l *Loop) startCell(ctx context.Context, id gw.CellID, state gwtable.State) {
+	c := l.newCell(id, state.Config)
+	l.cells[id] = c
+	if listing, number := l.listing(); number > 0 {
+		l.step(ctx, c, gwlease.HostsListed{Listing: listing})
+	}
+	l.step(ctx, c, gwlease.ConfigChanged{Config: state.Config})
+	l.applyItems(ctx, c, state)
+}
+
 func (l *Loop) newCell(id gw.CellID, cfg gw.Config) *cell {
 	space := gw.KeySpace{Service: id.Service, Region: l.self.Region}
 	if service, ok := cfg.Service(id.Service); ok {
@@ -312,6 +366,7 @@
 		),
 		placer:            l.newPlacer(id),
 		directoryVersions: map[gw.CellID]gw.ItemVersion{},
+		loadVersions:      map[gw.CellID]gw.ItemVersion{},
 	}
 }
 
@@ -383,6 +438,7 @@
 }
 
 func (l *Loop) beginStop(ctx context.Context, done chan struct{}) {
+	l.stopping = true
 	l.stopWaiters = append(l.stopWaiters, done)
 	for _, c := range l.cells {
 		l.step(ctx, c, gwlease.StopRequested{})
--- a/internal/version/gwfeed/offer.go
+++ b/internal/version/gwfeed/offer.go
@@ -74,12 +74,13 @@
 // regions the first, since bytes between regions are dear and the second pulls from it. The second is offered them
 // too while the first does not accept.
 func (f *Feed) offerTargets() []gw.HostEntry {
+	relays := withoutHost(f.topologyOf().all, f.self.Name)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var targets []gw.HostEntry
 	failing := map[gw.DataCentreName]bool{}
 	seen := map[gw.DataCentreName]bool{}
-	for _, relay := range withoutHost(allRelays(f.hosts(), f.self.DataCentre), f.self.Name) {
+	for _, relay := range relays {
 		if relay.Region == f.self.Region || !seen[relay.DataCentre] || failing[relay.DataCentre] {
 			targets = append(targets, relay)
 		}
@@ -101,11 +102,12 @@
 	}
 	var items []gw.Item
 	for topic := range topics {
-		item, ok := f.hub.Get(topic)
-		if !ok {
-			continue
+		accepted, ok := f.accepted[relay].versions[topic]
+		item, newer, err := f.hub.Since(topic, accepted, ok)
+		if err != nil {
+			f.log.Error("item cannot be encoded for a relay", "topic", string(topic), "error", err)
 		}
-		if version, ok := f.accepted[relay].versions[topic]; !ok || version.Less(item.Version) {
+		if newer {
 			items = append(items, item)
 		}
 	}
@@ -129,6 +131,12 @@
 	for _, item := range items {
 		held.versions[item.Topic] = item.Version
 	}
+	for _, topic := range reply.Missing {
+		delete(held.versions, topic)
+	}
+	if len(reply.Missing) > 0 {
+		f.wakeOffers()
+	}
 	f.accepted[relay.Name] = held
 	return nil
 }
--- a/internal/version/gwtable/state.go
+++ b/internal/version/gwtable/state.go
@@ -1,7 +1,9 @@
 package gwtable
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"strings"
 
 	"github.com/rotisserie/eris"
@@ -13,18 +15,26 @@
 const (
 	TopicConfig gw.Topic = "config"
 
-	topicAssignmentPrefix string = "assignment/"
-	topicDirectoryPrefix  string = "directory/"
+	// AssignmentTopics and DirectoryTopics are the prefixes of the topics of assignments and directories.
+	AssignmentTopics gw.Topic = "assignment/"
+	DirectoryTopics  gw.Topic = "directory/"
+
+	topicLoadsPrefix string = "loads/"
 )
 
 // AssignmentTopic returns the topic of a key space's assignment.
 func AssignmentTopic(space gw.KeySpace) gw.Topic {
-	return gw.Topic(topicAssignmentPrefix + space.String())
+	return AssignmentTopics + gw.Topic(space.String())
 }
 
 // DirectoryTopic returns the topic of a cell's directory.
 func DirectoryTopic(cell gw.CellID) gw.Topic {
-	return gw.Topic(topicDirectoryPrefix + cell.String())
+	return DirectoryTopics + gw.Topic(cell.String())
+}
+
+// LoadsItem returns the item of the loads of a cell.
+func LoadsItem(l gw.CellLoads) (gw.Item, error) {
+	return gw.NewItem(gw.Topic(topicLoadsPrefix+l.Cell.String()), l.Version(), l)
 }
 
 // ConfigItem returns the item of a configuration.
@@ -39,13 +49,12 @@
 	Assignment   gw.Assignment
 }
 
-// AssignmentItem returns the item of an assignment.
+// AssignmentItem returns the item of an assignment. It is encoded when it is sent.
 func AssignmentItem(r Record) (gw.Item, error) {
-	data, err := gw.EncodeAssignment(r.Assignment)
 	return gw.Item{
 		Topic: AssignmentTopic(r.Assignment.KeySpace), Version: gw.ItemVersion{Sequence: uint64(r.Assignment.Revision)},
-		Record: data, StoreVersion: r.StoreVersion,
-	}, err
+		Assignment: &r.Assignment, StoreVersion: r.StoreVersion,
+	}, nil
 }
 
 // DirectoryItem returns the item of a directory.
@@ -60,17 +69,33 @@
 	Ready       bool
 	Assignments map[gw.KeySpace]Record
 	Directories map[gw.CellID]gw.Directory
+	// Loads are known to hosts that may control cells only.
+	Loads map[gw.CellID]gw.CellLoads
 
-	// services, tenants and servers index the values above, since every request looks them up.
+	// services, tenants, spaces and cells index the values above, since every request looks them up.
 	services map[gw.ServiceName]gw.Service
 	tenants  map[gw.TenantName]gw.Tenant
-	servers  map[gw.KeySpace]map[gw.ServerName]listedServer
+	spaces   map[gw.KeySpace][]cellIndex
+	// cells holds the directories of each service, ordered by data centre.
+	cells map[gw.ServiceName][]gw.Directory
 }
 
-// listedServer is a server in a directory, with the region of its cell.
-type listedServer struct {
-	gw.DirectoryServer
-	region gw.RegionName
+// cellIndex finds the servers of one cell by name. It is replaced with the directory of the cell, so that a new directory
+// costs the same however many cells a service has.
+type cellIndex struct {
+	cell    gw.CellID
+	region  gw.RegionName
+	servers map[gw.ServerName]*gw.DirectoryServer
+}
+
+// server returns the entry and the region of a server of a key space, and false when no directory lists it.
+func (s State) server(space gw.KeySpace, name gw.ServerName) (*gw.DirectoryServer, gw.RegionName, bool) {
+	for _, x := range s.spaces[space] {
+		if e, ok := x.servers[name]; ok {
+			return e, x.region, true
+		}
+	}
+	return nil, "", false
 }
 
 // WithItem returns a copy that contains the item. The caller has checked that its version is the highest.
@@ -82,19 +107,25 @@
 			return s, err
 		}
 		s = s.withConfig(cfg)
-	case strings.HasPrefix(string(item.Topic), topicAssignmentPrefix):
-		a, err := gw.DecodeAssignment(item.Record)
-		if err != nil {
-			return s, eris.Wrapf(err, "item %s", item.Topic)
+	case strings.HasPrefix(string(item.Topic), string(AssignmentTopics)):
+		if item.Assignment == nil {
+			return s, eris.Errorf("item %s holds no assignment", item.Topic)
 		}
 		s.Assignments = maps.Clone(s.Assignments)
-		s.Assignments[a.KeySpace] = Record{StoreVersion: item.StoreVersion, Assignment: a}
-	case strings.HasPrefix(string(item.Topic), topicDirectoryPrefix):
+		s.Assignments[item.Assignment.KeySpace] = Record{StoreVersion: item.StoreVersion, Assignment: *item.Assignment}
+	case strings.HasPrefix(string(item.Topic), string(DirectoryTopics)):
 		var d gw.Directory
 		if err := item.Decode(&d); err != nil {
 			return s, err
 		}
 		s = s.withDirectory(d)
+	case strings.HasPrefix(string(item.Topic), topicLoadsPrefix):
+		var l gw.CellLoads
+		if err := item.Decode(&l); err != nil {
+			return s, err
+		}
+		s.Loads = maps.Clone(s.Loads)
+		s.Loads[l.Cell] = l
 	}
 	return s, nil
 }
@@ -116,17 +147,23 @@
 func (s State) withDirectory(d gw.Directory) State {
 	s.Directories = maps.Clone(s.Directories)
 	s.Directories[d.Cell] = d
-	space := d.KeySpace()
-	entries := map[gw.ServerName]listedServer{}
-	for _, other := range s.Directories {
-		if other.KeySpace() != space {
-			continue
-		}
-		for _, entry := range other.Servers {
-			entries[entry.Name] = listedServer{DirectoryServer: entry, region: other.Region}
+	index := cellIndex{cell: d.Cell, region: d.Region, servers: make(map[gw.ServerName]*gw.DirectoryServer, len(d.Servers))}
+	for i := range d.Servers {
+		index.servers[d.Servers[i].Name] = &d.Servers[i]
+	}
+	s.spaces = maps.Clone(s.spaces)
+	for space, cells := range s.spaces {
+		if i := slices.IndexFunc(cells, func(x cellIndex) bool { return x.cell == d.Cell }); i >= 0 {
+			s.spaces[space] = slices.Delete(slices.Clone(cells), i, i+1)
 		}
 	}
-	s.servers = maps.Clone(s.servers)
-	s.servers[space] = entries
+	s.spaces[d.KeySpace()] = append(slices.Clone(s.spaces[d.KeySpace()]), index)
+	s.cells = maps.Clone(s.cells)
+	cells := slices.DeleteFunc(slices.Clone(s.cells[d.Cell.Service]), func(other gw.Directory) bool {
+		return other.Cell == d.Cell
+	})
+	cells = append(cells, d)
+	slices.SortFunc(cells, func(x, y gw.Directory) int { return cmp.Compare(x.Cell.DataCentre, y.Cell.DataCentre) })
+	s.cells[d.Cell.Service] = cells
 	return s
 }
--- a/internal/version/gwtable/table.go
+++ b/internal/version/gwtable/table.go
@@ -22,7 +22,9 @@
 	t.state.Store(&State{
 		Assignments: map[gw.KeySpace]Record{},
 		Directories: map[gw.CellID]gw.Directory{},
-		servers:     map[gw.KeySpace]map[gw.ServerName]listedServer{},
+		Loads:       map[gw.CellID]gw.CellLoads{},
+		spaces:      map[gw.KeySpace][]cellIndex{},
+		cells:       map[gw.ServiceName][]gw.Directory{},
 	})
 	return t
 }
--- a/peer.go
+++ b/peer.go
@@ -27,10 +27,6 @@
 	Dispatcher   HostName `json:"dispatcher,omitempty"`
 	RelayAddress string   `json:"relay-address,omitempty"`
 	Slots        int      `json:"slots"`
-	// Load and Capacity are in requests a second. They are published at intervals for services with ordered keys, zero
-	// otherwise.
-	Load     float64 `json:"load,omitempty"`
-	Capacity float64 `json:"capacity,omitempty"`
 }
 
 // Directory lists the servers of a cell. It is published by the cell's controller.
@@ -45,6 +41,27 @@
 	Servers    []DirectoryServer `json:"servers"`
 }
 
+// ServerLoad is the load of a server and what it bears, in requests a second.
+type ServerLoad struct {
+	Name     ServerName `json:"name"`
+	Load     float64    `json:"load"`
+	Capacity float64    `json:"capacity"`
+}
+
+// CellLoads are the loads of the servers of a cell with ordered keys. The cell's controller publishes them at intervals
+// for the controllers of the other cells; hosts that control none do without.
+type CellLoads struct {
+	Cell     CellID       `json:"cell"`
+	Epoch    Epoch        `json:"epoch"`
+	Sequence uint64       `json:"sequence"`
+	Servers  []ServerLoad `json:"servers"`
+}
+
+// Version orders the loads of a cell.
+func (l CellLoads) Version() ItemVersion {
+	return ItemVersion{Epoch: uint64(l.Epoch), Sequence: l.Sequence}
+}
+
 // KeySpace returns the key space that the cell's servers take part in: Space, or that of the cell's own region when it
 // is not set.
 func (d Directory) KeySpace() KeySpace {
@@ -98,6 +115,8 @@
 	// ColdUntil is a reading of the receiver's clock until which the server bears its cold rate only.
 	ColdUntil             ClockMilliseconds `json:"cold-until-clock-milliseconds,omitempty"`
 	ColdRequestsPerSecond float64           `json:"cold-requests-per-second,omitempty"`
+	// PausedUntil is a reading of the receiver's clock until which the server has asked a dispatcher for no requests.
+	PausedUntil ClockMilliseconds `json:"paused-until-clock-milliseconds,omitempty"`
 	// OverrunMilliseconds is how long after the lease's deadline the receiver goes on sending while no controller has
 	// told it otherwise. It is zero for a server that relies on a single sender.
 	OverrunMilliseconds int64 `json:"overrun-milliseconds,omitempty"`
@@ -137,6 +156,10 @@
 	// Arrivals counts requests with a key since the last status, Positions are those of a part of them.
 	Arrivals  int64      `json:"arrivals,omitempty"`
 	Positions []Position `json:"positions,omitempty"`
+	// Leaving is set when the server has said in an answer that it leaves. PauseMilliseconds is for how much longer it wants
+	// no requests from the dispatcher.
+	Leaving           bool  `json:"leaving,omitempty"`
+	PauseMilliseconds int64 `json:"pause-milliseconds,omitempty"`
 	// MeanMilliseconds is the mean time that the server takes for a request, zero when it is not known.
 	MeanMilliseconds float64 `json:"mean-milliseconds,omitempty"`
 }
@@ -167,6 +190,8 @@
 	From InstanceID            `json:"from"`
 	Host HostName              `json:"host"`
 	Have map[Topic]ItemVersion `json:"have"`
+	// Only limits the items to topics that begin with one of the prefixes, unless it is empty.
+	Only []Topic `json:"only,omitempty"`
 	// WaitMilliseconds is how long the receiver may wait for news before it answers.
 	WaitMilliseconds int64 `json:"wait-milliseconds"`
 }
@@ -175,6 +200,8 @@
 type PullReply struct {
 	Instance InstanceID `json:"instance"`
 	Items    []Item     `json:"items"`
+	// SourceCurrent is set when the store answers the sender, so that the items from there are up to date.
+	SourceCurrent bool `json:"source-current,omitempty"`
 }
 
 // OfferRequest passes items on to a relay without being asked.
@@ -186,6 +213,8 @@
 // OfferReply answers an OfferRequest.
 type OfferReply struct {
 	Instance InstanceID `json:"instance"`
+	// Missing are the topics of changes that the sender cannot apply, because it does not hold their base.
+	Missing []Topic `json:"missing,omitempty"`
 }
 
 // Peer sends messages to other hosts, each addressed by its peer address.
