--- a/.ci/verdict/main.go
+++ b/.ci/verdict/main.go
@@ -53,7 +53,10 @@
 	return compare(known, res)
 }
 
-// readKnown returns "package test" of each entry. A missing file lists nothing.
+// byHand begins the entry of a finding that no test of the script shows, such as a day of the users' bench.
+const byHand = "by hand"
+
+// readKnown returns "package test" of each entry, and prints the findings by hand. A missing file lists nothing.
 func readKnown(name string) ([]string, error) {
 	data, err := os.ReadFile(name) //nolint:gosec // the file is named by the CI script
 	if errors.Is(err, os.ErrNotExist) {
@@ -68,7 +71,11 @@
 		if line == "" || strings.HasPrefix(line, "#") {
 			continue
 		}
-		entry, _, _ := strings.Cut(line, "|")
+		entry, finding, _ := strings.Cut(line, "|")
+		if strings.TrimSpace(entry) == byHand {
+			fmt.Println("known red, not run here:", strings.TrimSpace(finding))
+			continue
+		}
 		known = append(known, strings.Join(strings.Fields(entry), " "))
 	}
 	return known, nil
