platform: holds outlast the requests that begin under them

Cause: a server of the platform ends work that outlasts the hold under which it began, also when the hold was renewed meanwhile.

Change: holds of 3.2 s on the platform. Owners stay safe by the same calculation, with the longer time.

--- a/cmd/geraniumworks/platform.go
+++ b/cmd/geraniumworks/platform.go
@@ -18,6 +18,11 @@
 // which nobody can take over, and bounds how long the servers of a lost controller that nobody else reaches keep keys.
 const platformAuthority = 20 * time.Second
 
+// platformSession is how long a hold of a server lasts after its last answer. A server ends work that outlasts the hold
+// under which it began, whatever was renewed meanwhile: with 2 s every request that took longer than 1 to 1.5 s failed.
+// The keys of a server that is lost wait 0.7 s longer than this.
+const platformSession = 3200 * time.Millisecond
+
 const (
 	// platformReadEvery lets two reads in a row be lost before authority ends. Calls to the store are paid for.
 	platformReadEvery = 7 * time.Second
@@ -51,6 +56,7 @@
 			gwplatform.WithRegisterer(r),
 		)
 		timing := gwlease.DefaultTiming()
+		timing.Session = platformSession
 		timing.Authority = platformAuthority
 		timing.ReadEvery = platformReadEvery
 		timing.CandidateReadEvery = platformCandidateReadEvery
