--- a/internal/connection/gwahead/conn.go
+++ b/internal/connection/gwpipeline/conn.go
@@ -1,6 +1,6 @@
-// Package gwahead reads ahead on connections of callers that send further requests before the first one has been
+// Package gwpipeline reads ahead on connections of callers that send further requests before the first one has been
 // answered, so that a caller that leaves is noticed although its requests are still unread.
-package gwahead
+package gwpipeline
 
 import (
 	"context"
--- a/internal/connection/gwahead/conn_test.go
+++ b/internal/connection/gwpipeline/conn_test.go
@@ -1,4 +1,4 @@
-package gwahead_test
+package gwpipeline_test
 
 import (
 	"bufio"
@@ -13,7 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/geraniumworks/geraniumworks/internal/connection/gwahead"
+	"github.com/geraniumworks/geraniumworks/internal/connection/gwpipeline"
 )
 
 // started is a request that is worked on before its turn.
@@ -28,15 +28,15 @@
 // serve runs an HTTP server whose handler calls handle with the context that also ends when the caller has left, and
 // returns its address.
 func serve(
-	t *testing.T, start gwahead.Starter, handle func(context.Context, http.ResponseWriter, *http.Request),
+	t *testing.T, start gwpipeline.Starter, handle func(context.Context, http.ResponseWriter, *http.Request),
 ) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	server := &http.Server{
-		ReadHeaderTimeout: time.Second, ConnContext: gwahead.WithConn,
+		ReadHeaderTimeout: time.Second, ConnContext: gwpipeline.WithConn,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			ctx, turn := gwahead.Begin(r.Context())
+			ctx, turn := gwpipeline.Begin(r.Context())
 			defer turn.End()
 			if ctx.Err() != nil {
 				if turn.Pending != nil {
@@ -53,7 +53,7 @@
 		}),
 	}
 	ended := make(chan error, 1)
-	go func() { ended <- server.Serve(gwahead.Listener{Listener: listener, Start: start}) }()
+	go func() { ended <- server.Serve(gwpipeline.Listener{Listener: listener, Start: start}) }()
 	t.Cleanup(func() {
 		require.NoError(t, server.Close())
 		require.ErrorIs(t, <-ended, http.ErrServerClosed)
@@ -83,9 +83,9 @@
 
 const request = "GET /%d HTTP/1.1\r\nHost: x\r\n\r\n"
 
-// Guards against servers that go on with a request whose caller has left, because it had sent a further one: GONE on
-// trouble-2 of zverak-hire.
-func TestCallerThatSentAheadAndLeaves(t *testing.T) {
+// Guards against servers that go on with a request whose caller has left, because it had pipelined a further one:
+// GONE on trouble-2 of zverak-hire.
+func TestCallerThatPipelinesAndLeaves(t *testing.T) {
 	for name, further := range map[string]int{"no further request": 0, "one further request": 1, "many": 300} {
 		t.Run(name, func(t *testing.T) {
 			started, left := make(chan struct{}), make(chan struct{})
@@ -115,7 +115,7 @@
 
 // Guards against requests that are lost, cut or answered out of order because they were read ahead, in pieces and
 // beyond what is read ahead, and against a connection that stays unusable after a timeout of net/http.
-func TestRequestsSentAheadAreAnsweredInOrder(t *testing.T) {
+func TestPipelinedRequestsAreAnsweredInOrder(t *testing.T) {
 	address := serve(t, nil, func(_ context.Context, w http.ResponseWriter, r *http.Request) {
 		time.Sleep(time.Millisecond)
 		body, err := io.ReadAll(r.Body)
@@ -164,7 +164,7 @@
 func TestRequestsBehindASlowOneAreWorkedOn(t *testing.T) {
 	release := make(chan struct{})
 	all := make(chan string, 10)
-	address := serve(t, func(_ context.Context, r *http.Request) gwahead.Pending {
+	address := serve(t, func(_ context.Context, r *http.Request) gwpipeline.Pending {
 		if r.Method != http.MethodGet {
 			return nil
 		}
@@ -207,7 +207,7 @@
 func TestRequestsAreAbandonedWithTheirConnection(t *testing.T) {
 	abandoned := make(chan struct{})
 	begun := make(chan context.Context, 1)
-	address := serve(t, func(ctx context.Context, _ *http.Request) gwahead.Pending {
+	address := serve(t, func(ctx context.Context, _ *http.Request) gwpipeline.Pending {
 		begun <- ctx
 		return &started{ready: make(chan struct{}), abandoned: abandoned}
 	}, func(ctx context.Context, _ http.ResponseWriter, _ *http.Request) {
@@ -237,7 +237,7 @@
 			_, _ = client.Write(data)
 			_ = client.Close()
 		}()
-		conn := gwahead.NewConn(server, func(context.Context, *http.Request) gwahead.Pending { return nil })
+		conn := gwpipeline.NewConn(server, func(context.Context, *http.Request) gwpipeline.Pending { return nil })
 		_, _ = io.Copy(io.Discard, conn)
 		_ = conn.Close()
 	})
--- a/internal/connection/gwahead/finder.go
+++ b/internal/connection/gwpipeline/finder.go
@@ -1,4 +1,4 @@
-package gwahead
+package gwpipeline
 
 import (
 	"bufio"
--- a/internal/process/gwhost/run.go
+++ b/internal/process/gwhost/run.go
@@ -11,8 +11,8 @@
 	"github.com/oklog/run"
 	"github.com/rotisserie/eris"
 
-	"github.com/geraniumworks/geraniumworks/internal/connection/gwahead"
 	"github.com/geraniumworks/geraniumworks/internal/connection/gwpeer"
+	"github.com/geraniumworks/geraniumworks/internal/connection/gwpipeline"
 	"github.com/geraniumworks/geraniumworks/internal/request/gwentry"
 	"github.com/geraniumworks/geraniumworks/internal/request/gwforward"
 )
@@ -45,7 +45,7 @@
 		addLoop(&group, pool.Run)
 	}
 	h.addPeers(&group, listeners.peers)
-	callers := gwahead.Listener{Listener: listeners.callers, Start: h.entry.Ahead}
+	callers := gwpipeline.Listener{Listener: listeners.callers, Start: h.entry.StartPipelined}
 	h.addHTTP(&group, callers, h.entry, gwentry.DefaultHeaderBytes)
 	h.addHTTP(&group, h.requireTLS(listeners.relay), h.relay, relayHeaderBytes)
 	h.addHTTP(&group, listeners.operators, h.operatorsHandler(), relayHeaderBytes)
--- a/internal/request/gwentry/fakes_test.go
+++ b/internal/request/gwentry/fakes_test.go
@@ -15,7 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	gw "github.com/geraniumworks/geraniumworks"
-	"github.com/geraniumworks/geraniumworks/internal/connection/gwahead"
+	"github.com/geraniumworks/geraniumworks/internal/connection/gwpipeline"
 	"github.com/geraniumworks/geraniumworks/internal/connection/gwpool"
 	"github.com/geraniumworks/geraniumworks/internal/request/gwentry"
 	"github.com/geraniumworks/geraniumworks/internal/request/gwforward"
@@ -218,7 +218,7 @@
 		gwentry.WithPolicy(gwretry.New()), gwentry.WithLogger(s.log),
 	)
 	sys.server = startOn(t, gwforward.NewServer(sys.entry, gwentry.DefaultHeaderBytes), func(l net.Listener) net.Listener {
-		return gwahead.Listener{Listener: l, Start: sys.entry.Ahead}
+		return gwpipeline.Listener{Listener: l, Start: sys.entry.StartPipelined}
 	})
 	sys.url = sys.server.URL
 	sys.client = &http.Client{Transport: &http.Transport{DisableCompression: true}}
--- a/internal/request/gwentry/handler.go
+++ b/internal/request/gwentry/handler.go
@@ -14,7 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus/promauto"
 
 	gw "github.com/geraniumworks/geraniumworks"
-	"github.com/geraniumworks/geraniumworks/internal/connection/gwahead"
+	"github.com/geraniumworks/geraniumworks/internal/connection/gwpipeline"
 	"github.com/geraniumworks/geraniumworks/internal/request/gwforward"
 	"github.com/geraniumworks/geraniumworks/internal/request/gwretry"
 	"github.com/geraniumworks/geraniumworks/internal/request/gwsplit"
@@ -101,7 +101,7 @@
 	// Clears the write deadline that an earlier request on the connection has set. Writers without deadline support occur
 	// in tests only and have no slow caller.
 	_ = rc.SetWriteDeadline(time.Time{})
-	ctx, turn := gwahead.Begin(r.Context())
+	ctx, turn := gwpipeline.Begin(r.Context())
 	defer turn.End()
 	r = r.WithContext(ctx)
 	p, begun := turn.Pending.(*pendingCall)
--- a/internal/request/gwentry/pending.go
+++ b/internal/request/gwentry/pending.go
@@ -6,7 +6,7 @@
 	"sync/atomic"
 
 	gw "github.com/geraniumworks/geraniumworks"
-	"github.com/geraniumworks/geraniumworks/internal/connection/gwahead"
+	"github.com/geraniumworks/geraniumworks/internal/connection/gwpipeline"
 	"github.com/geraniumworks/geraniumworks/internal/request/gwforward"
 )
 
@@ -24,9 +24,9 @@
 	claimed atomic.Bool
 }
 
-// Ahead is the gwahead.Starter of the handler. It begins requests that may be repeated and have no body: they run
-// again if the connection ends before their turn. Others wait, and so do all while the host stops.
-func (h *Handler) Ahead(ctx context.Context, r *http.Request) gwahead.Pending {
+// StartPipelined is the gwpipeline.Starter of the handler. It begins requests that may be repeated and have no body:
+// they run again if the connection ends before their turn. Others wait, and so do all while the host stops.
+func (h *Handler) StartPipelined(ctx context.Context, r *http.Request) gwpipeline.Pending {
 	x := h.currentIndex()
 	if x == nil || r.ContentLength != 0 || r.Close || r.Header.Get("Expect") != "" || !h.gate.Enter() {
 		return nil
@@ -76,7 +76,7 @@
 	h.write(w, p.call, p.answer, p.refusal)
 }
 
-// Abandon implements gwahead.Pending.
+// Abandon implements gwpipeline.Pending.
 func (p *pendingCall) Abandon() {
 	if p.claimed.Swap(true) {
 		return
--- a/internal/request/gwentry/ahead_test.go
+++ b/internal/request/gwentry/pipeline_test.go
@@ -16,10 +16,10 @@
 	gw "github.com/geraniumworks/geraniumworks"
 )
 
-const aheadRequest = "%s /claims/%d HTTP/1.1\r\nHost: x\r\nGw-Tenant: harbour\r\nContent-Length: 0\r\n\r\n"
+const pipelinedRequest = "%s /claims/%d HTTP/1.1\r\nHost: x\r\nGw-Tenant: harbour\r\nContent-Length: 0\r\n\r\n"
 
-// aheadScene is an entry host whose server answers the requests to /claims/0 only once release is closed.
-type aheadScene struct {
+// pipelineScene is an entry host whose server answers the requests to /claims/0 only once release is closed.
+type pipelineScene struct {
 	sys     *system
 	conn    net.Conn
 	reader  *bufio.Reader
@@ -31,9 +31,9 @@
 	change chan struct{}
 }
 
-func newAheadScene(t *testing.T) *aheadScene {
+func newPipelineScene(t *testing.T) *pipelineScene {
 	t.Helper()
-	s := &aheadScene{release: make(chan struct{}), change: make(chan struct{}, 100)}
+	s := &pipelineScene{release: make(chan struct{}), change: make(chan struct{}, 100)}
 	server := echoServer(t, func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		s.begun = append(s.begun, r.Method+" "+r.URL.Path)
@@ -62,40 +62,40 @@
 	return s
 }
 
-func (s *aheadScene) send(t *testing.T, method string, numbers ...int) {
+func (s *pipelineScene) send(t *testing.T, method string, numbers ...int) {
 	t.Helper()
 	all := ""
 	for _, n := range numbers {
-		all += fmt.Sprintf(aheadRequest, method, n)
+		all += fmt.Sprintf(pipelinedRequest, method, n)
 	}
 	_, err := io.WriteString(s.conn, all)
 	require.NoError(t, err)
 }
 
-// aheadAnswer is an answer as the caller reads it.
-type aheadAnswer struct {
+// pipelineAnswer is an answer as the caller reads it.
+type pipelineAnswer struct {
 	status  int
 	outcome string
 	closes  bool
 	body    string
 }
 
-func (s *aheadScene) read(t *testing.T) aheadAnswer {
+func (s *pipelineScene) read(t *testing.T) pipelineAnswer {
 	t.Helper()
 	resp, err := http.ReadResponse(s.reader, nil)
 	require.NoError(t, err)
 	defer func() { require.NoError(t, resp.Body.Close()) }()
 	body, err := io.ReadAll(resp.Body)
 	require.NoError(t, err)
-	return aheadAnswer{
+	return pipelineAnswer{
 		status: resp.StatusCode, outcome: resp.Header.Get(gw.HeaderOutcome), closes: resp.Close, body: string(body),
 	}
 }
 
 // Guards against a slow first request that makes those behind it late, against answers in another order than the
 // requests, and against a request that may not be repeated and is begun before its turn.
-func TestRequestsSentAhead(t *testing.T) {
-	s := newAheadScene(t)
+func TestPipelinedRequests(t *testing.T) {
+	s := newPipelineScene(t)
 	s.send(t, http.MethodGet, 0, 1)
 	<-s.change
 	<-s.change
@@ -120,8 +120,8 @@
 }
 
 // Guards against servers that go on with the requests of a caller that has left, and against slots that are never free.
-func TestCallerLeavesRequestsSentAhead(t *testing.T) {
-	s := newAheadScene(t)
+func TestCallerLeavesPipelinedRequests(t *testing.T) {
+	s := newPipelineScene(t)
 	s.send(t, http.MethodGet, 0, 0, 0)
 	for range 3 {
 		<-s.change
@@ -139,8 +139,8 @@
 
 // Guards against a planned stop that closes a connection on which requests are still answered: those that were begun
 // before it are answered, one behind them is told that it has not run.
-func TestStopWithRequestsSentAhead(t *testing.T) {
-	s := newAheadScene(t)
+func TestStopWithPipelinedRequests(t *testing.T) {
+	s := newPipelineScene(t)
 	s.send(t, http.MethodGet, 0, 1)
 	<-s.change
 	<-s.change
--- a/internal/request/gwforward/server.go
+++ b/internal/request/gwforward/server.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"time"
 
-	"github.com/geraniumworks/geraniumworks/internal/connection/gwahead"
+	"github.com/geraniumworks/geraniumworks/internal/connection/gwpipeline"
 	"github.com/geraniumworks/geraniumworks/internal/process/gwtimer"
 )
 
@@ -31,7 +31,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    headerBytes,
-		ConnContext:       gwahead.WithConn,
+		ConnContext:       gwpipeline.WithConn,
 		// Otherwise net/http would answer OPTIONS * itself, without an outcome.
 		DisableGeneralOptionsHandler: true,
 	}
