gwfakes: one accept loop for servers that answer in raw bytes

Assertions and answers are the same. Left out: gwentry's rawHeadServer and cutServer, gwforward's scriptServer, which keep connections open or count them.

--- a/internal/connection/gwstore/resend_test.go
+++ b/internal/connection/gwstore/resend_test.go
@@ -16,6 +16,7 @@
 
 	gw "github.com/geraniumworks/geraniumworks"
 	"github.com/geraniumworks/geraniumworks/internal/connection/gwstore"
+	"github.com/geraniumworks/geraniumworks/internal/standin/gwfakes"
 )
 
 // rawStore accepts connections and passes each request to answer with its number, counted over all
@@ -26,26 +27,17 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
 	var requests atomic.Int64
-	go func() {
+	go gwfakes.ServeConns(l, func(conn net.Conn, in *bufio.Reader) {
 		for {
-			conn, err := l.Accept()
+			r, err := http.ReadRequest(in)
 			if err != nil {
 				return
 			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				for in := bufio.NewReader(conn); ; {
-					r, err := http.ReadRequest(in)
-					if err != nil {
-						return
-					}
-					if _, err := io.Copy(io.Discard, r.Body); err != nil || !answer(requests.Add(1), r, conn) {
-						return
-					}
-				}
-			}()
+			if _, err := io.Copy(io.Discard, r.Body); err != nil || !answer(requests.Add(1), r, conn) {
+				return
+			}
 		}
-	}()
+	})
 	return l.Addr().String(), &requests
 }
 
--- a/internal/request/gwentry/fault_test.go
+++ b/internal/request/gwentry/fault_test.go
@@ -19,6 +19,7 @@
 	gw "github.com/geraniumworks/geraniumworks"
 	"github.com/geraniumworks/geraniumworks/internal/request/gwentry"
 	"github.com/geraniumworks/geraniumworks/internal/request/gwforward"
+	"github.com/geraniumworks/geraniumworks/internal/standin/gwfakes"
 )
 
 // rawServer answers every request with the text that answer returns, nothing when it is empty, and closes the
@@ -29,33 +30,23 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
 	var n atomic.Int64
-	go func() {
+	go gwfakes.ServeConns(l, func(conn net.Conn, in *bufio.Reader) {
+		t.Cleanup(func() { _ = conn.Close() })
 		for {
-			conn, err := l.Accept()
+			r, err := http.ReadRequest(in)
 			if err != nil {
 				return
 			}
-			t.Cleanup(func() { _ = conn.Close() })
-			go func() {
-				defer func() { _ = conn.Close() }()
-				in := bufio.NewReader(conn)
-				for {
-					r, err := http.ReadRequest(in)
-					if err != nil {
-						return
-					}
-					if _, err := io.Copy(io.Discard, r.Body); err != nil {
-						return
-					}
-					text := answer(n.Add(1), r)
-					text, closing := strings.CutSuffix(text, "!")
-					if _, err := io.WriteString(conn, text); err != nil || closing {
-						return
-					}
-				}
-			}()
+			if _, err := io.Copy(io.Discard, r.Body); err != nil {
+				return
+			}
+			text := answer(n.Add(1), r)
+			text, closing := strings.CutSuffix(text, "!")
+			if _, err := io.WriteString(conn, text); err != nil || closing {
+				return
+			}
 		}
-	}()
+	})
 	return l.Addr().String()
 }
 
--- a/internal/request/gwforward/fuzz_test.go
+++ b/internal/request/gwforward/fuzz_test.go
@@ -19,6 +19,7 @@
 	gw "github.com/geraniumworks/geraniumworks"
 	"github.com/geraniumworks/geraniumworks/internal/connection/gwpool"
 	"github.com/geraniumworks/geraniumworks/internal/request/gwforward"
+	"github.com/geraniumworks/geraniumworks/internal/standin/gwfakes"
 )
 
 // FuzzServerAnswer sends arbitrary bytes as the answer of a server or relay. It guards against a crash, an answer
@@ -29,20 +30,11 @@
 	require.NoError(f, err)
 	f.Cleanup(func() { _ = l.Close() })
 	var answer atomic.Pointer[[]byte]
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					_, _ = conn.Write(*answer.Load())
-				}
-			}()
+	go gwfakes.ServeConns(l, func(conn net.Conn, in *bufio.Reader) {
+		if _, err := http.ReadRequest(in); err == nil {
+			_, _ = conn.Write(*answer.Load())
 		}
-	}()
+	})
 	pool := gwpool.New()
 	f.Cleanup(pool.Close)
 	forwarder := gwforward.New(gwforward.WithPool(pool))
