feed: test of a host that reads for itself while its relays are silent

Callers saw requests handled by an older configuration, over 2.5 s after a newer one was acknowledged (CONFIG).

The test fails on the present code: the change is not in force within 2.5 s. WithMirroredSource has no effect yet.

--- a/internal/process/gwhost/host.go
+++ b/internal/process/gwhost/host.go
@@ -202,6 +202,9 @@
 	if h.backend.SourceCurrent != nil {
 		feedOptions = append(feedOptions, gwfeed.WithSourceCurrent(h.backend.SourceCurrent))
 	}
+	if h.backend.SetReadMode != nil {
+		feedOptions = append(feedOptions, gwfeed.WithMirroredSource())
+	}
 	h.feed = gwfeed.New(feedOptions...)
 	h.control = gwcontrol.New(
 		gwcontrol.WithSelf(h.self, h.instance),
--- a/internal/version/gwfeed/delay_test.go
+++ b/internal/version/gwfeed/delay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -175,3 +176,33 @@
 		t.Fatal("the feed is blocked")
 	}
 }
+
+// silentRelays is a network in which no host answers a pull.
+type silentRelays struct{ *network }
+
+func (silentRelays) Pull(ctx context.Context, _ string, _ gw.PullRequest) (gw.PullReply, error) {
+	<-ctx.Done()
+	return gw.PullReply{}, ctx.Err()
+}
+
+// Guards against a host that reads the store for itself and waits for its relays all the same: while both stood still,
+// a configuration was late by a second.
+func TestChangeNeedsNoRelayAtHostThatReadsForItself(t *testing.T) {
+	t.Parallel()
+	hosts := testHosts()[:3]
+	relays := gwfeed.Relays(hosts, "a")
+	i := slices.IndexFunc(hosts, func(h gw.HostEntry) bool { return h.Name != relays[0].Name && h.Name != relays[1].Name })
+	n := &network{feeds: map[string]*gwfeed.Feed{}, cut: map[string]bool{}}
+	s := newSource()
+	s.set(item("config", 0, 1), false)
+	hub := gwfeed.NewHub(func(gw.Item) error { return nil })
+	f := gwfeed.New(gwfeed.WithHub(hub), gwfeed.WithPeer(silentRelays{n}), gwfeed.WithSource(s),
+		gwfeed.WithSelf(hosts[i], "self"), gwfeed.WithMirroredSource(),
+		gwfeed.WithHosts(func() []gw.HostEntry { return hosts }))
+	runFeed(t, f)
+	<-f.Ready()
+	require.Equal(t, gw.ReadForSelf, f.ReadMode())
+	s.set(item("config", 0, 2), false)
+	require.Eventually(t, func() bool { return hub.Versions()["config"].Sequence == 2 },
+		2500*time.Millisecond, 10*time.Millisecond)
+}
--- a/internal/version/gwfeed/feed.go
+++ b/internal/version/gwfeed/feed.go
@@ -67,7 +67,9 @@
 	sourceCurrent func() bool
 	interests     []gw.Topic
 	wantsAll      func() bool
-	topology      atomic.Pointer[topology]
+	// sourceMirrored is set when the source keeps a copy of the store as ReadMode says, so that reading it costs no call.
+	sourceMirrored bool
+	topology       atomic.Pointer[topology]
 	// createdAt is when the process created the feed.
 	createdAt time.Time
 	// currentAt is when a relay with a current source last answered, nil before the first time. It has no lock, since what
--- a/internal/version/gwfeed/options.go
+++ b/internal/version/gwfeed/options.go
@@ -54,6 +54,12 @@
 	return func(f *Feed) { f.sourceCurrent = current }
 }
 
+// WithMirroredSource says that the source keeps a copy of the store as ReadMode says, so that reading it costs no call.
+// By default each reading is a call to the store.
+func WithMirroredSource() Option {
+	return func(f *Feed) { f.sourceMirrored = true }
+}
+
 // WithInterests limits what this host pulls, while it is no relay and all returns false, to topics that begin with
 // one of the prefixes. By default it pulls all.
 func WithInterests(prefixes []gw.Topic, all func() bool) Option {
