feed: hosts that read for themselves use what they read

Cause: in a data centre of up to four hosts each host keeps a copy of the operators' documents, but the feed took configurations from it at relays only. The others depended on pulls: the first relay's may hang for 4 s, and the second is asked every 1.5 to 3 s. With both relays lost nothing arrived.

Change: a source that keeps its copy up to date anyway is read at each host with ReadForSelf. No call is added.

--- a/internal/version/gwfeed/feed.go
+++ b/internal/version/gwfeed/feed.go
@@ -304,7 +304,7 @@
 	return err
 }
 
-// watch reads the store while this host is a relay.
+// watch reads the store while this host is a relay or reads for itself.
 func (f *Feed) watch(ctx context.Context) error {
 	delay := newBackoff()
 	for ctx.Err() == nil {
@@ -321,10 +321,11 @@
 	return nil
 }
 
-// readsForItself reports whether this host has to read configurations although it is no relay, since it has none to
-// rely on.
+// readsForItself reports whether this host reads configurations although it is no relay: it has none to rely on, or
+// reading costs nothing.
 func (f *Feed) readsForItself() bool {
-	return f.relies() && f.ReadMode() == gw.ReadForOthers
+	mode := f.ReadMode()
+	return f.relies() && mode == gw.ReadForOthers || f.sourceMirrored && mode == gw.ReadForSelf
 }
 
 func (f *Feed) read(ctx context.Context) error {
