peer: connections between hosts end when nothing is acknowledged

Same class as the store's connections. A host that relies on its relays waited 4 s for a pull on a connection that had gone silent, longer than the 2.5 s in which a configuration must be in force.

Change: the same dialer as for the store. Before: TestWaitingCallEndsOnSilentConnection fails after 2.5 s. After: it passes.

--- a/internal/connection/gwpeer/client.go
+++ b/internal/connection/gwpeer/client.go
@@ -14,6 +14,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	gw "github.com/geraniumworks/geraniumworks"
+	"github.com/geraniumworks/geraniumworks/internal/connection/gwsocket"
 )
 
 // Client implements gw.Peer with two connections per address, opened at the first call: one for calls that are
@@ -135,8 +136,7 @@
 }
 
 func (c *Client) dial(ctx context.Context, key connKey) (*jsonrpc2.Conn, error) {
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp", key.address)
+	conn, err := gwsocket.Dialer(0).DialContext(ctx, "tcp", key.address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/connection/gwpeer/gwpeer_test.go
+++ b/internal/connection/gwpeer/gwpeer_test.go
@@ -11,6 +11,7 @@
 
 	gw "github.com/geraniumworks/geraniumworks"
 	"github.com/geraniumworks/geraniumworks/internal/connection/gwpeer"
+	"github.com/geraniumworks/geraniumworks/internal/standin/gwsilence"
 )
 
 type handler struct {
@@ -113,3 +114,31 @@
 	_, err = client.Probe(ctx, address, gw.ProbeRequest{})
 	require.NoError(t, err)
 }
+
+// Guards against a pull that waits for news on a connection that has gone silent until its own timeout of 4 s, while
+// changes arrive at the relay.
+func TestWaitingCallEndsOnSilentConnection(t *testing.T) {
+	t.Parallel()
+	plain, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	listener := gwsilence.Wrap(plain)
+	h := &handler{hold: make(chan struct{})}
+	serve(t, listener, h)
+	client := gwpeer.NewClient()
+	t.Cleanup(func() { require.NoError(t, client.Close()) })
+	ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() {
+		_, err := client.Pull(ctx, listener.Addr().String(), gw.PullRequest{})
+		ended <- err
+	}()
+	require.Eventually(t, func() bool { return listener.Accepted() == 1 }, time.Second, time.Millisecond)
+	require.NoError(t, listener.Silence())
+	select {
+	case err := <-ended:
+		require.Error(t, err)
+	case <-time.After(2500 * time.Millisecond):
+		t.Fatal("the pull still waits")
+	}
+}
--- a/internal/standin/gwsilence/listener.go
+++ b/internal/standin/gwsilence/listener.go
@@ -37,6 +37,13 @@
 	return c, nil
 }
 
+// Accepted returns how many connections have been accepted and not silenced.
+func (l *Listener) Accepted() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns)
+}
+
 // Silence silences the connections that have been accepted so far. Later ones work.
 func (l *Listener) Silence() error {
 	l.mu.Lock()
