--- a/peer.go
+++ b/peer.go
@@ -117,6 +117,9 @@
 	ColdRequestsPerSecond float64           `json:"cold-requests-per-second,omitempty"`
 	// PausedUntil is a reading of the receiver's clock until which the server has asked a dispatcher for no requests.
 	PausedUntil ClockMilliseconds `json:"paused-until-clock-milliseconds,omitempty"`
+	// LimitPerSecond is how many requests a second the server takes from all hosts together, as it told a dispatcher, zero
+	// when it names no limit.
+	LimitPerSecond float64 `json:"limit-per-second,omitempty"`
 	// OverrunMilliseconds is how long after the lease's deadline the receiver goes on sending while no controller has
 	// told it otherwise. It is zero for a server that relies on a single sender.
 	OverrunMilliseconds int64 `json:"overrun-milliseconds,omitempty"`
@@ -160,6 +163,8 @@
 	// wants no requests from the dispatcher.
 	Leaving           bool  `json:"leaving,omitempty"`
 	PauseMilliseconds int64 `json:"pause-milliseconds,omitempty"`
+	// LimitPerSecond is how many requests a second the server takes from all hosts together, zero when it names no limit.
+	LimitPerSecond float64 `json:"limit-per-second,omitempty"`
 	// MeanMilliseconds is the mean time that the server takes for a request, zero when it is not known.
 	MeanMilliseconds float64 `json:"mean-milliseconds,omitempty"`
 }
--- a/protocol.go
+++ b/protocol.go
@@ -50,6 +50,8 @@
 	Leaving bool
 	// PauseMilliseconds is for how long the server wants no requests from this host, zero when it does not say.
 	PauseMilliseconds int64
+	// LimitPerSecond is how many requests a second the server takes from all hosts together, zero when it names no limit.
+	LimitPerSecond float64
 }
 
 // ServerProtocol translates between the request path and backend servers.
--- a/request.go
+++ b/request.go
@@ -77,6 +77,8 @@
 	// this host, zero when it has not.
 	Leaving     bool
 	PausedUntil time.Time
+	// LimitPerSecond is how many requests a second the server takes from all hosts together, zero when it names no limit.
+	LimitPerSecond float64
 	// FirstByte and End are when the answer began and ended, zero when it did not. An unknown outcome without End
 	// occupies the slot until the request's deadline, since the server may still be running it.
 	FirstByte time.Time
