dispatch: keep the limit that a server in need names in its answers

Callers of a server in need saw it fail: it got several times the requests that it had asked for (LIMIT).

Cause: no code read Server-Limit. Ruled out: limits that each sender keeps for itself, or that start anew with a new dispatcher; there were none.

Change: a server's dispatcher, through which all of its requests pass, spaces their starts at the limit, with at most one request of credit. It reports the limit to its controller, which passes it to the next dispatcher, counts the server with that capacity, and logs the begin and end of the limit. The right to send to such a server ends with the lease, since two senders would share the limit. An answer without the header ends it only if its request started later. Requests whose turn comes after their deadline are refused at once, with the time that the limit needs as Retry-After.

--- a/internal/process/gwlease/dispatch.go
+++ b/internal/process/gwlease/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"slices"
+	"strconv"
 	"time"
 
 	gw "github.com/geraniumworks/geraniumworks"
@@ -211,6 +212,19 @@
 		c.progressNow = true
 	}
 	s.pausedUntil = later(s.pausedUntil, c.now.Add(time.Duration(d.PauseMilliseconds)*time.Millisecond))
+	c.noteLimit(s, d.LimitPerSecond)
+}
+
+// noteLimit records how many requests a second a server takes, and reports the begin and the end of such a limit.
+func (c *Core) noteLimit(s *server, perSecond float64) {
+	switch {
+	case s.limitPerSecond == 0 && perSecond > 0:
+		detail := strconv.FormatFloat(perSecond, 'g', -1, 64) + " requests a second"
+		c.event(Event{Kind: EventServerLimit, Server: s.entry.Name, Detail: detail})
+	case s.limitPerSecond > 0 && perSecond == 0:
+		c.event(Event{Kind: EventServerLimit, Server: s.entry.Name, Detail: "none"})
+	}
+	s.limitPerSecond = perSecond
 }
 
 // adoptSender keeps the dispatcher that an earlier controller assigned.
--- a/internal/process/gwlease/lease.go
+++ b/internal/process/gwlease/lease.go
@@ -91,6 +91,7 @@
 			Name: s.entry.Name, Address: s.entry.Address, Incarnation: s.incarnation, ChecksFencing: s.checksFencing,
 			Slots: s.dispatch.slots, Connections: c.service.Limits.ConnectionsPerServer,
 			Leaving: c.isLeaving(s), Revision: c.record.assignment.Revision,
+			LimitPerSecond: s.limitPerSecond,
 		}
 		if s.pausedUntil.After(c.now) {
 			d.PausedUntil = h.clock + gw.ClockMilliseconds(s.pausedUntil.Sub(h.clockAt).Milliseconds())
--- a/internal/process/gwlease/loads.go
+++ b/internal/process/gwlease/loads.go
@@ -79,14 +79,17 @@
 		mean = c.cellMeanMilliseconds()
 	}
 	bears := float64(c.slots(s)) * 1000 / mean * c.shareOutsidePause(s)
+	if s.limitPerSecond > 0 {
+		bears = min(bears, max(s.limitPerSecond, bears*minPauseShare))
+	}
 	if cold := c.service.ColdRequestsPerSecond; cold > 0 && c.now.Before(s.coldUntil) {
 		return min(bears, cold)
 	}
 	return bears
 }
 
-// minPauseShare is the share of its capacity that a pausing server counts with at least, so that shares of loads stay
-// finite.
+// minPauseShare is the share of its capacity that a pausing or limited server counts with at least, so that shares of
+// loads stay finite.
 const minPauseShare = 0.05
 
 // shareOutsidePause returns the share of the next arrivalWindow in which the server takes requests.
--- a/internal/process/gwlease/loads_test.go
+++ b/internal/process/gwlease/loads_test.go
@@ -57,7 +57,7 @@
 }
 
 // Guards against a server that says in its answers that it leaves and keeps its keys until the host list tells, and
-// against a pausing server that is given more keys, or forgotten when its dispatcher changes.
+// against a pausing or limited server that is given more keys, or forgotten when its dispatcher changes.
 func TestWhatServersSayInAnswers(t *testing.T) {
 	c := New(WithHost("h1", "h1#1"), WithCell(gw.CellID{Service: "lookups", DataCentre: "a"}, "holland"))
 	c.now = time.Unix(1000, 0)
@@ -73,6 +73,9 @@
 	require.InDelta(t, whole/2, c.capacity(s), 0.01)
 	h := &host{clock: 500, clockAt: c.now}
 	require.Equal(t, gw.ClockMilliseconds(1500), c.leasedServers(h, []*server{s})[0].PausedUntil)
+	c.noteSaid(s, gw.DispatchedServer{Name: "s1", Incarnation: "s1/1", LimitPerSecond: 4})
+	require.InDelta(t, 4, c.capacity(s), 0.01)
+	require.InDelta(t, 4, c.leasedServers(h, []*server{s})[0].LimitPerSecond, 0)
 	c.noteSaid(s, gw.DispatchedServer{Name: "s1", Incarnation: "s1/1", Leaving: true})
 	require.Equal(t, gw.ServerLeaving, c.state(s))
 	c.newIncarnation(s, gw.ServerStatus{Incarnation: "s1/2"})
--- a/internal/process/gwlease/messages.go
+++ b/internal/process/gwlease/messages.go
@@ -182,6 +182,8 @@
 	EventSessionExpired    EventKind = "session-expired"
 	EventServerRestarted   EventKind = "server-restarted"
 	EventServerLeaving     EventKind = "server-leaving"
+	// EventServerLimit is the begin or the end of a limit that a server names in its answers.
+	EventServerLimit       EventKind = "server-limit"
 	EventRangeMoved        EventKind = "range-moved"
 	EventRangeSplit        EventKind = "range-split"
 	EventRangeMerged       EventKind = "range-merged"
--- a/internal/process/gwlease/server.go
+++ b/internal/process/gwlease/server.go
@@ -25,6 +25,8 @@
 	// until when it has asked its dispatcher for no requests.
 	saysLeaving bool
 	pausedUntil time.Time
+	// limitPerSecond is how many requests a second the current incarnation takes, zero when it names no limit.
+	limitPerSecond float64
 	// clock is the newest reading of the server's clock, which arrived at clockAt.
 	clock      gw.ClockMilliseconds
 	clockAt    time.Time
--- a/internal/process/gwlease/session.go
+++ b/internal/process/gwlease/session.go
@@ -192,7 +192,7 @@
 	s.seenID = c.lastRequestID
 	s.sessionLive = false
 	s.carried, s.proven = nil, nil
-	s.saysLeaving, s.pausedUntil = false, time.Time{}
+	s.saysLeaving, s.pausedUntil, s.limitPerSecond = false, time.Time{}, 0
 	if !s.rangeFences {
 		// A grant to a server with range fences names no incarnation, so the new one may hold ranges through a grant
 		// that was sent to the previous one.
--- a/internal/request/gwdispatch/grant.go
+++ b/internal/request/gwdispatch/grant.go
@@ -111,7 +111,11 @@
 		s.server = &server
 	}
 	first := !s.listed && s.leasedIncarnation == ""
-	s.listed, s.leaseEnd, s.sendEnd = true, end, sendEnd(end, server)
+	if !s.listed {
+		// What this host heard as a former dispatcher may be out of date.
+		s.serverLimit.heard = false
+	}
+	s.listed, s.leaseEnd = true, end
 	if server.Incarnation != s.leasedIncarnation {
 		s.leasedIncarnation = server.Incarnation
 		switch {
@@ -126,20 +130,24 @@
 			s.handleRestart(now, server.Incarnation)
 		}
 	}
+	if server.Incarnation == s.incarnation {
+		s.serverLimit.lease(now, server.LimitPerSecond)
+	}
+	s.sendEnd = s.endOfRight()
 	s.supersede(version)
 	s.recheckQueue(now)
 	s.advance(now)
 }
 
-// sendEnd returns when the right to send to a server ends. When no controller renews the lease, the dispatcher goes on
-// for the overrun of the server: such a server checks the ownership of keys itself, and refusing would fail all its
-// callers. A cold server's rate is a limit over all senders, and a leaving server must soon get no requests, so both
-// end with the lease.
-func sendEnd(leaseEnd time.Time, server gw.DispatchServer) time.Time {
-	if server.Leaving || server.ColdRequestsPerSecond > 0 {
-		return leaseEnd
+// endOfRight returns when the right to send to the server ends. When no controller renews the lease, the dispatcher goes
+// on for the overrun of the server: such a server checks the ownership of keys itself, and refusing would fail all its
+// callers. The rate of a cold server and the limit that a server names hold over all senders, and a leaving server must
+// soon get no requests, so these end with the lease.
+func (s *serverState) endOfRight() time.Time {
+	if s.server.Leaving || s.server.ColdRequestsPerSecond > 0 || s.serverLimit.perSecond > 0 {
+		return s.leaseEnd
 	}
-	return leaseEnd.Add(time.Duration(server.OverrunMilliseconds) * time.Millisecond)
+	return s.leaseEnd.Add(time.Duration(s.server.OverrunMilliseconds) * time.Millisecond)
 }
 
 // supersede ends the pending releases whose ranges a newer lease lists again.
@@ -210,6 +218,7 @@
 func sameServer(a, b gw.DispatchServer) bool {
 	return a.Name == b.Name && a.Address == b.Address && a.Incarnation == b.Incarnation &&
 		a.ChecksFencing == b.ChecksFencing && a.Slots == b.Slots && a.Connections == b.Connections &&
-		a.Leaving == b.Leaving && a.OverrunMilliseconds == b.OverrunMilliseconds &&
+		a.Leaving == b.Leaving && a.ColdRequestsPerSecond == b.ColdRequestsPerSecond &&
+		a.OverrunMilliseconds == b.OverrunMilliseconds &&
 		a.Revision == b.Revision && slices.Equal(a.Ranges, b.Ranges)
 }
--- a/internal/request/gwdispatch/observe.go
+++ b/internal/request/gwdispatch/observe.go
@@ -17,7 +17,7 @@
 	if answering := result.Incarnation; answering != "" && answering != s.incarnation && answering != r.incarnation {
 		s.handleRestart(now, answering)
 	}
-	s.noteAnswer(r, result)
+	s.noteAnswer(now, r, result)
 	took := now.Sub(r.started)
 	if result.FirstByte.After(r.started) {
 		// The rest of the answer may be slow because of the caller.
@@ -58,6 +58,7 @@
 func (s *serverState) handleRestart(now time.Time, incarnation gw.Incarnation) {
 	s.incarnation = incarnation
 	s.pausedUntil = time.Time{}
+	s.serverLimit = serverLimit{}
 	s.serviceTimes = newServiceTimes()
 	s.recent = recentResults{}
 	for i := len(s.busy) - 1; i >= 0; i-- {
@@ -76,6 +77,7 @@
 		Name: s.server.Name, Incarnation: s.incarnation, Revision: s.server.Revision, InFlight: len(s.busy),
 		Answers: s.answers, Failures: s.failures,
 		Leaving: s.saysLeaving(), PauseMilliseconds: s.pauseLeft(now).Milliseconds(),
+		LimitPerSecond: s.serverLimit.perSecond,
 	}
 	s.rates.report(now, &out)
 	s.answers, s.failures = 0, 0
--- a/internal/request/gwdispatch/order.go
+++ b/internal/request/gwdispatch/order.go
@@ -93,7 +93,8 @@
 	if usable <= 0 {
 		return s.pauseLeft(now)
 	}
-	return s.pauseLeft(now) + max(time.Duration(float64(mean)*float64(ahead+1)/usable), s.rateLimiter.minWait(now, ahead))
+	return s.pauseLeft(now) + max(time.Duration(float64(mean)*float64(ahead+1)/usable),
+		s.rateLimiter.minWait(now, ahead), s.serverLimit.minWait(now, ahead))
 }
 
 // expectedServiceTime returns the mean service time. While there are too few recent answers for an estimate, it falls
--- a/internal/request/gwdispatch/pause.go
+++ b/internal/request/gwdispatch/pause.go
@@ -6,11 +6,11 @@
 	gw "github.com/geraniumworks/geraniumworks"
 )
 
-// A server that has too much to do may ask this host for no requests for a while, and one that is about to end says
-// in its answers that it leaves. Both come with the answers of requests, sooner than through the host list.
+// A server that has too much to do may ask this host for no requests for a while, or name how many it takes a second, and
+// one that is about to end says in its answers that it leaves. All of this comes with the answers of requests, sooner than through the host list.
 
 // noteAnswer applies what the answer to a request says about further requests.
-func (s *serverState) noteAnswer(r *request, result gw.AttemptResult) {
+func (s *serverState) noteAnswer(now time.Time, r *request, result gw.AttemptResult) {
 	if r.incarnation != s.incarnation {
 		// The answer of an earlier run says nothing about the present one.
 		return
@@ -19,6 +19,8 @@
 		s.leavingIncarnation = r.incarnation
 	}
 	s.pausedUntil = latest(s.pausedUntil, result.PausedUntil)
+	s.serverLimit.note(now, r.started, result)
+	s.sendEnd = s.endOfRight()
 }
 
 // leaving reports whether the server leaves, according to its controller or to the server itself.
--- a/internal/request/gwdispatch/server.go
+++ b/internal/request/gwdispatch/server.go
@@ -29,6 +29,7 @@
 
 	slotLimiter slotLimiter
 	rateLimiter rateLimiter
+	serverLimit serverLimit
 	// busy are the requests that occupy slots; held counts those in stateHeld.
 	busy         []*request
 	held         int
@@ -154,7 +155,7 @@
 
 // admits reports whether one more request may start now, and whether it would occupy the fractional slot.
 func (s *serverState) admits(now time.Time) (ok, fractional bool) {
-	if now.Before(s.pausedUntil) || !s.rateLimiter.admits(now) {
+	if now.Before(s.pausedUntil) || !s.rateLimiter.admits(now) || !s.serverLimit.admits(now) {
 		return false, false
 	}
 	return s.slotLimiter.admits(now, s.limits, s.server.Slots, len(s.busy))
@@ -189,6 +190,7 @@
 	s.busy = append(s.busy, r)
 	s.slotLimiter.started(now, s.limits, s.server.Slots)
 	s.rateLimiter.started(now)
+	s.serverLimit.started(now)
 	if r.ready != nil {
 		s.decided = append(s.decided, r)
 	}
@@ -327,6 +329,7 @@
 		earlier(s.sendEnd)
 		earlier(s.slotLimiter.wakeAt(now))
 		earlier(s.rateLimiter.wakeAt(now))
+		earlier(s.serverLimit.wakeAt(now))
 	}
 	if s.held > 0 && (s.queue.length > 0 || len(s.pendingReleases) > 0) {
 		for _, r := range s.busy {
--- a/internal/request/gwforward/answer.go
+++ b/internal/request/gwforward/answer.go
@@ -34,6 +34,8 @@
 	// Leaving and PausedUntil are what the server says about further requests, see gw.AttemptResult.
 	Leaving     bool
 	PausedUntil time.Time
+	// LimitPerSecond is how many requests a second the server takes from all hosts together, zero when it names no limit.
+	LimitPerSecond float64
 	// RequestID is the id of the attempt that was answered.
 	RequestID string
 	// FirstByte is the time at which the head arrived.
--- a/internal/request/gwforward/forward.go
+++ b/internal/request/gwforward/forward.go
@@ -53,6 +53,8 @@
 	// Leaving and PausedUntil are what the server says about further requests, see gw.AttemptResult.
 	Leaving     bool
 	PausedUntil time.Time
+	// LimitPerSecond is how many requests a second the server takes from all hosts together, zero when it names no limit.
+	LimitPerSecond float64
 }
 
 // Send sends the request at most once. It returns an answer of which at least the head has arrived, or a failure whose
@@ -115,7 +117,7 @@
 	if refusal := answer.check(f.servers, r.head(left)); refusal != nil {
 		return nil, &Failure{
 			Refusal: refusal, Status: answer.Status, Incarnation: answer.Incarnation,
-			Leaving: answer.Leaving, PausedUntil: answer.PausedUntil,
+			Leaving: answer.Leaving, PausedUntil: answer.PausedUntil, LimitPerSecond: answer.LimitPerSecond,
 		}, false
 	}
 	return answer, nil, false
@@ -181,7 +183,7 @@
 	if refusal != nil {
 		a.conn.NoteRefused(a.r.CallerID)
 	}
-	a.Incarnation, a.Leaving = head.Incarnation, head.Leaving
+	a.Incarnation, a.Leaving, a.LimitPerSecond = head.Incarnation, head.Leaving, head.LimitPerSecond
 	if head.PauseMilliseconds > 0 {
 		a.PausedUntil = a.FirstByte.Add(time.Duration(head.PauseMilliseconds) * time.Millisecond)
 	}
--- a/internal/request/gwrelay/relay.go
+++ b/internal/request/gwrelay/relay.go
@@ -115,7 +115,7 @@
 	result := gw.AttemptResult{
 		Outcome: failed.Reason.Outcome(), Status: failed.Status, Incarnation: failed.Incarnation,
 		Overloaded: failed.Reason == gw.ReasonOverloaded || failed.Reason == gw.ReasonShed,
-		Leaving:    failed.Leaving, PausedUntil: failed.PausedUntil,
+		Leaving:    failed.Leaving, PausedUntil: failed.PausedUntil, LimitPerSecond: failed.LimitPerSecond,
 	}
 	if result.Outcome == gw.OutcomeNotRun {
 		result.End = time.Now()
@@ -127,7 +127,7 @@
 func (r *Relay) reportEnd(slot gw.Slot, a *gwforward.Answer, complete bool) {
 	result := gw.AttemptResult{
 		Outcome: gw.OutcomeAnswered, Status: a.Status, Incarnation: a.Incarnation, FirstByte: a.FirstByte,
-		Leaving: a.Leaving, PausedUntil: a.PausedUntil,
+		Leaving: a.Leaving, PausedUntil: a.PausedUntil, LimitPerSecond: a.LimitPerSecond,
 	}
 	if complete {
 		result.End = time.Now()
