--- a/internal/request/gwrelay/options.go
+++ b/internal/request/gwrelay/options.go
@@ -9,6 +9,21 @@
 	"github.com/geraniumworks/geraniumworks/internal/request/gwforward"
 )
 
+// Reach learns whether this host reaches servers.
+type Reach interface {
+	// CutOff reports whether this host reaches no server, although others may.
+	CutOff() bool
+	Answered()
+	Failed(server gw.ServerName, address string)
+}
+
+// noReach is the Reach of a relay that does not watch it.
+type noReach struct{}
+
+func (noReach) CutOff() bool                 { return false }
+func (noReach) Answered()                    {}
+func (noReach) Failed(gw.ServerName, string) {}
+
 // Options are the settings of a Relay.
 type Options struct {
 	Dispatcher gw.Dispatcher
@@ -17,6 +32,7 @@
 	Region     gw.RegionName
 	Barred     func(gw.ServerName) bool
 	Leaving    func(gw.ServerName, gw.Incarnation)
+	Reach      Reach
 	Logger     *slog.Logger
 	Registerer prometheus.Registerer
 }
@@ -65,3 +81,9 @@
 func WithRegisterer(r prometheus.Registerer) Option {
 	return func(o *Options) { o.Registerer = r }
 }
+
+// WithReach sets what learns from attempts whether this host reaches servers. While it reaches none, requests are
+// refused at once. By default this is not watched.
+func WithReach(r Reach) Option {
+	return func(o *Options) { o.Reach = r }
+}
--- a/internal/request/gwrelay/relay.go
+++ b/internal/request/gwrelay/relay.go
@@ -31,6 +31,7 @@
 	o := Options{
 		Barred:  func(gw.ServerName) bool { return false },
 		Leaving: func(gw.ServerName, gw.Incarnation) {}, Logger: slog.New(slog.DiscardHandler),
+		Reach: noReach{},
 	}
 	for _, opt := range opts {
 		opt(&o)
