reach: a host that is cut off from all servers passes its roles on

Callers got an answer to about half of their requests while some hosts had lost their path to all servers.

Cause: all requests of a server go through its dispatcher. A dispatcher without a path answers its controller, so that it keeps the lease, and lets each request wait: 1.5 s for a connection, or until the deadline on a kept one.

Change: gwreach finds the cut from failed attempts and control calls, and confirms it by dials.

Before: TestHostCutOffFromServersRefusesAtOnce fails. After: it passes.

--- a/internal/process/gwcontrol/loop.go
+++ b/internal/process/gwcontrol/loop.go
@@ -49,6 +49,7 @@
 	publisher Publisher
 	ready     <-chan struct{}
 	newPlacer func(gw.CellID) gw.Placer
+	cutOff    func() bool
 	timing    gwlease.Timing
 	clock     gw.Clock
 	log       *slog.Logger
@@ -84,6 +85,8 @@
 	directoryVersions map[gw.CellID]gw.ItemVersion
 	loadVersions      map[gw.CellID]gw.ItemVersion
 	recordVersion     gw.StoreVersion
+	// cutOff is what the controller was last told about the path to servers.
+	cutOff bool
 	// nextPlacement is the earliest time for the next call of the placement policy.
 	nextPlacement time.Time
 }
@@ -104,6 +107,7 @@
 func New(opts ...Option) *Loop {
 	l := &Loop{
 		clock:        gw.SystemClock{},
+		cutOff:       func() bool { return false },
 		timing:       gwlease.DefaultTiming(),
 		log:          slog.New(slog.DiscardHandler),
 		counters:     newCounters(),
@@ -262,10 +266,15 @@
 	if number != l.listingNumber && !slices.Equal(listing.Hosts, l.hosts) {
 		l.chooseCells(ctx, listing.Hosts)
 	}
+	cutOff := l.cutOff()
 	for _, c := range l.cells {
 		if number != l.listingNumber {
 			l.step(ctx, c, gwlease.HostsListed{Listing: listing})
 		}
+		if c.cutOff != cutOff {
+			c.cutOff = cutOff
+			l.step(ctx, c, gwlease.ReachChanged{CutOff: cutOff})
+		}
 		l.step(ctx, c, gwlease.Tick{})
 	}
 	l.listingNumber = number
--- a/internal/process/gwcontrol/options.go
+++ b/internal/process/gwcontrol/options.go
@@ -36,6 +36,12 @@
 	return func(l *Loop) { l.servers = s }
 }
 
+// WithCutOff sets a function that reports whether this host reaches no server at the moment. By default it always
+// reaches them.
+func WithCutOff(cutOff func() bool) Option {
+	return func(l *Loop) { l.cutOff = cutOff }
+}
+
 // WithPeer sets the client for calls to other hosts. It is required.
 func WithPeer(p gw.Peer) Option {
 	return func(l *Loop) { l.peer = p }
--- a/internal/process/gwhost/host.go
+++ b/internal/process/gwhost/host.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/google/uuid"
 	"github.com/prometheus/client_golang/prometheus"
@@ -15,9 +16,11 @@
 	gw "github.com/geraniumworks/geraniumworks"
 	"github.com/geraniumworks/geraniumworks/internal/connection/gwpeer"
 	"github.com/geraniumworks/geraniumworks/internal/connection/gwpool"
+	"github.com/geraniumworks/geraniumworks/internal/connection/gwsocket"
 	"github.com/geraniumworks/geraniumworks/internal/process/gwadmin"
 	"github.com/geraniumworks/geraniumworks/internal/process/gwcontrol"
 	"github.com/geraniumworks/geraniumworks/internal/process/gwmembers"
+	"github.com/geraniumworks/geraniumworks/internal/process/gwreach"
 	"github.com/geraniumworks/geraniumworks/internal/process/gwsettings"
 	"github.com/geraniumworks/geraniumworks/internal/request/gwadmit"
 	"github.com/geraniumworks/geraniumworks/internal/request/gwchoice"
@@ -30,6 +33,9 @@
 	"github.com/geraniumworks/geraniumworks/internal/version/gwtable"
 )
 
+// serverDialTimeout limits a connection attempt at a server. Connecting takes 40 ms between regions.
+const serverDialTimeout = 500 * time.Millisecond
+
 // Host is one geraniumworks process.
 type Host struct {
 	// settings is replaced when the process reads its settings again.
@@ -52,6 +58,7 @@
 	entry        *gwentry.Handler
 	control      *gwcontrol.Loop
 	admin        *gwadmin.API
+	reach        *gwreach.Reach
 	outOfService outOfServiceTimes
 	distributed  distributedListing
 
@@ -141,13 +148,15 @@
 	config := h.configInForce
 	h.dispatcher = gwdispatch.New(gwdispatch.WithInstance(h.instance), gwdispatch.WithRegisterer(h.registry))
 	h.admitter = gwadmit.New(gwadmit.WithRegisterer(h.registry))
+	h.reach = gwreach.New(gwreach.WithOnChange(h.reachChanged))
 	h.relay = gwrelay.New(
 		gwrelay.WithDispatcher(h.dispatcher),
-		gwrelay.WithForwarder(h.forwarder("server")),
+		gwrelay.WithForwarder(h.forwarder("server", gwpool.WithDial(gwsocket.Dialer(serverDialTimeout).DialContext))),
 		gwrelay.WithConfig(config),
 		gwrelay.WithRegion(h.self.Region),
 		gwrelay.WithBarred(h.blocked),
 		gwrelay.WithLeaving(h.members.ReportLeaving),
+		gwrelay.WithReach(h.reach),
 		gwrelay.WithLogger(h.log),
 		gwrelay.WithRegisterer(h.registry),
 	)
@@ -209,7 +218,8 @@
 	h.control = gwcontrol.New(
 		gwcontrol.WithSelf(h.self, h.instance),
 		gwcontrol.WithStore(purposeStore{h.backend.Store, purposeAssignment}),
-		gwcontrol.WithServers(h.backend.Servers),
+		gwcontrol.WithServers(watchedServers{h.backend.Servers, h.reach}),
+		gwcontrol.WithCutOff(h.reach.CutOff),
 		gwcontrol.WithTiming(h.backend.Timing),
 		gwcontrol.WithPeer(h.client),
 		gwcontrol.WithTable(h.table),
--- a/internal/process/gwhost/run.go
+++ b/internal/process/gwhost/run.go
@@ -40,6 +40,7 @@
 	}
 	addLoop(&group, h.members.Run)
 	addLoop(&group, h.feed.Run)
+	addLoop(&group, h.reach.Run)
 	addLoop(&group, h.control.Run)
 	for _, pool := range h.pools {
 		addLoop(&group, pool.Run)
--- a/internal/process/gwlease/core.go
+++ b/internal/process/gwlease/core.go
@@ -39,6 +39,8 @@
 	stopping bool
 	handover handoverState
 	relief   reliefState
+	// cutOff is set while this host reaches no server.
+	cutOff bool
 	// reliefEpoch is the highest epoch whose controller has asked this candidate to take over.
 	reliefEpoch gw.Epoch
 
@@ -126,6 +128,8 @@
 		c.planProposed(in.Plan)
 	case StopRequested:
 		c.stop()
+	case ReachChanged:
+		c.cutOff = in.CutOff
 	}
 }
 
--- a/internal/process/gwlease/messages.go
+++ b/internal/process/gwlease/messages.go
@@ -87,6 +87,10 @@
 // StopRequested starts a planned stop: the Core hands the cell over and never becomes controller again.
 type StopRequested struct{}
 
+// ReachChanged says whether this host reaches no server, of this cell or any other.
+type ReachChanged struct{ CutOff bool }
+
+func (ReachChanged) input()       {}
 func (Tick) input()               {}
 func (ConfigChanged) input()      {}
 func (HostsListed) input()        {}
--- a/internal/process/gwreach/reach.go
+++ b/internal/process/gwreach/reach.go
@@ -9,7 +9,6 @@
 	"time"
 
 	gw "github.com/geraniumworks/geraniumworks"
-	"github.com/geraniumworks/geraniumworks/internal/process/gwtimer"
 )
 
 // DialFunc opens a connection.
@@ -20,6 +19,8 @@
 	dial     DialFunc
 	onChange func(cutOff bool)
 	cutOff   atomic.Bool
+	// suspected gets a value when evidence is to be checked.
+	suspected chan struct{}
 
 	mu       sync.Mutex
 	evidence evidence
@@ -40,7 +41,7 @@
 
 // New returns a Reach of a host that is not cut off.
 func New(opts ...Option) *Reach {
-	r := &Reach{dial: (&net.Dialer{}).DialContext, onChange: func(bool) {}}
+	r := &Reach{dial: (&net.Dialer{}).DialContext, onChange: func(bool) {}, suspected: make(chan struct{}, 1)}
 	for _, opt := range opts {
 		opt(r)
 	}
@@ -52,24 +53,33 @@
 	return r.cutOff.Load()
 }
 
-// Answered notes that a server has answered or accepted a connection.
-func (r *Reach) Answered() {
-	r.note(func(e *evidence, now time.Time) { e.answered(now) })
+// Answered notes that the server at an address has answered.
+func (r *Reach) Answered(address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.evidence.answered(time.Now(), address)
+	r.set(false)
 }
 
 // Failed notes that a server could not be reached, or that its connection was lost or silent.
 func (r *Reach) Failed(name gw.ServerName, address string) {
-	r.note(func(e *evidence, now time.Time) { e.failed(now, name, address) })
-}
-
-func (r *Reach) note(apply func(*evidence, time.Time)) {
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	apply(&r.evidence, now)
-	if cut := r.evidence.cutOff(); cut != r.cutOff.Load() {
-		r.cutOff.Store(cut)
-		r.onChange(cut)
+	r.evidence.failed(now, name, address)
+	if r.evidence.suspicious(now) {
+		select {
+		case r.suspected <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// set changes whether this host is cut off. The caller holds mu.
+func (r *Reach) set(cutOff bool) {
+	if r.cutOff.Load() != cutOff {
+		r.cutOff.Store(cutOff)
+		r.onChange(cutOff)
 	}
 }
 
@@ -77,43 +87,68 @@
 	// checkInterval is the time between checks whether a host that is cut off reaches a server again. It sends nothing to
 	// servers meanwhile, so that nothing else would show it.
 	checkInterval = 250 * time.Millisecond
-	// checkTimeout bounds a connection attempt of a check.
+	// checkTimeout bounds the connection attempts of a check.
 	checkTimeout = 200 * time.Millisecond
-	// checkedServers is how many servers are tried at once.
+	// checkedServers is how many servers that answered, and how many that failed, a check tries.
 	checkedServers = 3
 )
 
-// Run checks, while this host is cut off, whether it reaches servers again, until ctx ends.
+// Run checks a suspicion at once, and whether a host that is cut off reaches servers again, until ctx ends.
 func (r *Reach) Run(ctx context.Context) error {
-	for ctx.Err() == nil {
-		gwtimer.Sleep(ctx, checkInterval)
-		if r.CutOff() && r.check(ctx) {
-			r.Answered()
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-r.suspected:
+		case <-ticker.C:
+			if !r.CutOff() {
+				continue
+			}
+		}
+		address, reached := r.check(ctx)
+		switch {
+		case reached:
+			r.Answered(address)
+		case ctx.Err() == nil:
+			r.confirm()
 		}
 	}
-	return nil
 }
 
-// check reports whether one of the servers that failed last accepts a connection.
-func (r *Reach) check(ctx context.Context) bool {
+// confirm records that no server has accepted a connection, unless one has answered meanwhile.
+func (r *Reach) confirm() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.evidence.suspicious(time.Now()) {
+		r.set(true)
+	}
+}
+
+// check opens connections to some servers and returns the address of one that has accepted.
+func (r *Reach) check(ctx context.Context) (address string, reached bool) {
 	r.mu.Lock()
-	addresses := r.evidence.lastFailed(checkedServers)
+	addresses := r.evidence.addresses(checkedServers)
 	r.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
-	reached := make(chan bool, len(addresses))
-	for _, address := range addresses {
+	accepted := make(chan string, len(addresses))
+	for _, to := range addresses {
 		go func() {
-			conn, err := r.dial(ctx, "tcp", address)
-			if err == nil {
-				_ = conn.Close()
+			conn, err := r.dial(ctx, "tcp", to)
+			if err != nil {
+				accepted <- ""
+				return
 			}
-			reached <- err == nil
+			_ = conn.Close()
+			accepted <- to
 		}()
 	}
-	reachedAny := false
 	for range addresses {
-		reachedAny = <-reached || reachedAny
+		if to := <-accepted; to != "" {
+			address, reached = to, true
+		}
 	}
-	return reachedAny
+	return address, reached
 }
--- a/internal/request/gwdispatch/dispatcher.go
+++ b/internal/request/gwdispatch/dispatcher.go
@@ -24,6 +24,8 @@
 	metrics    *metrics
 	limits     atomic.Pointer[map[gw.ServiceName]gw.ServiceLimits]
 	stopping   atomic.Bool
+	// cutOff is set while this host reaches no server.
+	cutOff atomic.Bool
 
 	// outliers is copied on write, by each run of the outlier detection.
 	outliers atomic.Pointer[map[gw.ServiceName][]gw.ServerName]
@@ -102,6 +104,12 @@
 	d.stopping.Store(true)
 }
 
+// SetCutOff sets whether this host reaches no server at the moment. Its statuses then ask controllers, as those of a
+// stopping process do, to lease its servers to other hosts.
+func (d *Dispatcher) SetCutOff(cutOff bool) {
+	d.cutOff.Store(cutOff)
+}
+
 // Clock returns the current reading of the clock by which this process interprets the deadlines of leases.
 func (d *Dispatcher) Clock() gw.ClockMilliseconds {
 	return d.clockReading(d.clock.Now())
--- a/internal/request/gwdispatch/lease.go
+++ b/internal/request/gwdispatch/lease.go
@@ -159,7 +159,8 @@
 // bareStatus returns a status without servers. It goes with errors: reading the counts resets them, and the sender
 // would lose them.
 func (d *Dispatcher) bareStatus(c *cell, now time.Time) gw.DispatchStatus {
-	out := gw.DispatchStatus{Instance: d.instance, Clock: d.clockReading(now), Stopping: d.stopping.Load()}
+	out := gw.DispatchStatus{Instance: d.instance, Clock: d.clockReading(now)}
+	out.Stopping = d.stopping.Load() || d.cutOff.Load()
 	if c != nil {
 		out.Epoch, out.Sequence = gw.Epoch(c.version.Epoch), c.version.Sequence
 	}
--- a/internal/request/gwrelay/options.go
+++ b/internal/request/gwrelay/options.go
@@ -13,7 +13,7 @@
 type Reach interface {
 	// CutOff reports whether this host reaches no server, although others may.
 	CutOff() bool
-	Answered()
+	Answered(address string)
 	Failed(server gw.ServerName, address string)
 }
 
@@ -21,7 +21,7 @@
 type noReach struct{}
 
 func (noReach) CutOff() bool                 { return false }
-func (noReach) Answered()                    {}
+func (noReach) Answered(string)              {}
 func (noReach) Failed(gw.ServerName, string) {}
 
 // Options are the settings of a Relay.
--- a/internal/request/gwrelay/reach_test.go
+++ b/internal/request/gwrelay/reach_test.go
@@ -74,6 +74,7 @@
 	for n := range 3 {
 		require.Equal(t, http.StatusServiceUnavailable, send(n))
 	}
+	require.Eventually(t, reach.CutOff, 300*time.Millisecond, time.Millisecond, "a suspicion is checked at once")
 	begin := time.Now()
 	require.Equal(t, http.StatusServiceUnavailable, send(4))
 	require.Less(t, time.Since(begin), 100*time.Millisecond, "the host knows that it reaches no server")
--- a/internal/request/gwrelay/relay.go
+++ b/internal/request/gwrelay/relay.go
@@ -54,6 +54,13 @@
 func (r *Relay) Deliver(ctx context.Context, req *gwforward.Request) (*gwforward.Answer, *gw.Refusal) {
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	arrived := time.Now()
+	if r.opts.Reach.CutOff() {
+		cancel()
+		refusal := gw.Refuse(gw.ReasonNoServer, "this host reaches no server at the moment")
+		r.countRefusal(refusal.Reason)
+		r.logEnd(req, time.Time{}, gw.DispatchServer{}, refusal)
+		return nil, refusal
+	}
 	slot, refusal := r.opts.Dispatcher.Acquire(ctx, slotRequest(req))
 	r.times.Since(arrived, gwstage.StageQueue, string(req.Target.Service))
 	if refusal != nil {
@@ -79,6 +86,7 @@
 	answer, failed := r.opts.Forwarder.Send(ctx, &toServer)
 	r.times.Since(sent, gwstage.StageServer, string(req.Target.Service))
 	if failed != nil {
+		r.noteFailure(ctx, server, failed)
 		cancel()
 		if failed.Leaving {
 			r.opts.Leaving(server.Name, server.Incarnation)
@@ -88,6 +96,7 @@
 		r.logEnd(req, sent, server, failed.Refusal)
 		return nil, failed.Refusal
 	}
+	r.opts.Reach.Answered(server.Address)
 	if answer.Leaving {
 		if answer.Incarnation == "" {
 			// The entry host learns from it which run of the server leaves.
@@ -102,6 +111,19 @@
 	return answer, nil
 }
 
+// noteFailure notes what an attempt without an answer that can be passed on says about the path to servers.
+func (r *Relay) noteFailure(ctx context.Context, server gw.DispatchServer, failed *gwforward.Failure) {
+	switch {
+	case failed.Status != 0:
+		r.opts.Reach.Answered(server.Address)
+	case ctx.Err() != nil:
+		// The caller has left or waits no longer.
+	case failed.Reason == gw.ReasonNoServer || failed.Reason == gw.ReasonNoProgress ||
+		failed.Reason == gw.ReasonConnectionLost:
+		r.opts.Reach.Failed(server.Name, server.Address)
+	}
+}
+
 func slotRequest(req *gwforward.Request) gw.SlotRequest {
 	return gw.SlotRequest{
 		Service: req.Target.Service, Server: req.Target.Server, Tenant: req.Tenant,
--- a/peer.go
+++ b/peer.go
@@ -171,10 +171,11 @@
 
 // DispatchStatus answers a DispatchLease or a DispatchRelease.
 type DispatchStatus struct {
-	Instance InstanceID         `json:"instance"`
-	Clock    ClockMilliseconds  `json:"clock-milliseconds"`
-	Epoch    Epoch              `json:"epoch"`
-	Sequence uint64             `json:"sequence"`
+	Instance InstanceID        `json:"instance"`
+	Clock    ClockMilliseconds `json:"clock-milliseconds"`
+	Epoch    Epoch             `json:"epoch"`
+	Sequence uint64            `json:"sequence"`
+	// Stopping is set when the dispatcher stops, or reaches no server at the moment: others are to get its servers.
 	Stopping bool               `json:"stopping"`
 	Servers  []DispatchedServer `json:"servers,omitempty"`
 }
