feed: test of a host whose relays lose the store

Third way by which a configuration is late, found by adding up the ways of a host in a large data centre: a relay needs up to 2 s to notice that the store does not answer it, says until then that its source is current, and the host relies on that for 1.6 s more. With 0.3 s to list the documents this is 3.9 s, allowed are 3 s on the grown sites. WithSourceAge has no effect yet.

--- a/internal/version/gwfeed/delay_test.go
+++ b/internal/version/gwfeed/delay_test.go
@@ -206,3 +206,40 @@
 	require.Eventually(t, func() bool { return hub.Versions()["config"].Sequence == 2 },
 		2500*time.Millisecond, 10*time.Millisecond)
 }
+
+// Guards against a host that relies on relays of which the store answers none: each takes up to 2 s to notice, and the
+// host waited 1.6 s more, together longer than a configuration may take.
+func TestHostReadsWhenItsRelaysLoseTheStore(t *testing.T) {
+	t.Parallel()
+	var hosts []gw.HostEntry
+	for _, name := range []string{"1", "2", "3", "4", "5", "6"} {
+		hosts = append(hosts, gw.HostEntry{
+			Name: gw.HostName("a" + name), DataCentre: "a", State: gw.EntryLive, PeerAddress: "a" + name,
+		})
+	}
+	relays := gwfeed.Relays(hosts, "a")
+	i := slices.IndexFunc(hosts, func(h gw.HostEntry) bool { return h.Name != relays[0].Name && h.Name != relays[1].Name })
+	n := &network{feeds: map[string]*gwfeed.Feed{}, cut: map[string]bool{}}
+	var lostAt atomic.Pointer[time.Time]
+	age := func() time.Duration {
+		if at := lostAt.Load(); at != nil {
+			return time.Since(*at)
+		}
+		return 0
+	}
+	listed := func() []gw.HostEntry { return hosts }
+	for _, relay := range relays {
+		hub := gwfeed.NewHub(func(gw.Item) error { return nil })
+		n.feeds[relay.PeerAddress] = gwfeed.New(gwfeed.WithHub(hub), gwfeed.WithPeer(n), gwfeed.WithSelf(relay, "r"),
+			gwfeed.WithHosts(listed), gwfeed.WithSource(newSource()), gwfeed.WithSourceAge(age))
+	}
+	f := gwfeed.New(gwfeed.WithHub(gwfeed.NewHub(func(gw.Item) error { return nil })), gwfeed.WithPeer(n),
+		gwfeed.WithSelf(hosts[i], "self"), gwfeed.WithHosts(listed), gwfeed.WithSource(newSource()))
+	runFeed(t, f)
+	mode := func(want gw.ReadMode) func() bool { return func() bool { return f.ReadMode() == want } }
+	require.Eventually(t, mode(gw.ReadNothing), 5*time.Second, 5*time.Millisecond)
+	require.Never(t, mode(gw.ReadForOthers), 3*time.Second, 5*time.Millisecond, "the relays are current")
+	now := time.Now()
+	lostAt.Store(&now)
+	require.Eventually(t, mode(gw.ReadForOthers), 2300*time.Millisecond, 5*time.Millisecond)
+}
--- a/internal/version/gwfeed/feed.go
+++ b/internal/version/gwfeed/feed.go
@@ -65,6 +65,8 @@
 	// sourceCurrent reports whether the store answers this host. interests are the topics that this host needs while it is
 	// no relay and wantsAll is false.
 	sourceCurrent func() bool
+	// sourceAge returns how long ago the store last answered this host.
+	sourceAge func() time.Duration
 	interests     []gw.Topic
 	wantsAll      func() bool
 	// sourceMirrored is set when the source keeps a copy of the store as ReadMode says, so that reading it costs no call.
@@ -111,6 +113,7 @@
 
 		createdAt:     time.Now(),
 		sourceCurrent: func() bool { return true },
+		sourceAge:     func() time.Duration { return 0 },
 		wantsAll:      func() bool { return true },
 	}
 	for _, opt := range opts {
--- a/internal/version/gwfeed/options.go
+++ b/internal/version/gwfeed/options.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -54,6 +55,12 @@
 	return func(f *Feed) { f.sourceCurrent = current }
 }
 
+// WithSourceAge sets a function that returns how long ago the store last answered this host. By default it has just
+// answered.
+func WithSourceAge(age func() time.Duration) Option {
+	return func(f *Feed) { f.sourceAge = age }
+}
+
 // WithMirroredSource says that the source keeps a copy of the store as ReadMode says, so that reading it costs no call.
 // By default each reading is a call to the store.
 func WithMirroredSource() Option {
--- a/peer.go
+++ b/peer.go
@@ -208,6 +208,8 @@
 	Items    []Item     `json:"items"`
 	// SourceCurrent is set when the store answers the sender, so that the items from there are up to date.
 	SourceCurrent bool `json:"source-current,omitempty"`
+	// SourceAgeMilliseconds is how long ago the store last answered the sender.
+	SourceAgeMilliseconds int64 `json:"source-age-milliseconds,omitempty"`
 }
 
 // OfferRequest passes items on to a relay without being asked.
