feed: relays tell when the store last answered them

Cause: whether the store answers a relay was told as yes or no. A relay finds out within 2 s that it does not, and the host counted each yes for 1.6 s more.

Change: relays tell how long ago the store answered, and hosts rely on it for 2.2 s from then: a watch of 1 s at relays (1.5 s before) with its pause, and the time to the next pull. Longest way now: 2.2 s, 0.1 s to the next check, 0.3 s for the listing. Hosts of the version before send no age, which counts as no delay.

Before: TestHostReadsWhenItsRelaysLoseTheStore fails. After: it passes.

--- a/cmd/geraniumworks/platform.go
+++ b/cmd/geraniumworks/platform.go
@@ -66,6 +66,7 @@
 			CallerProtocol: p.CallerProtocol(), ServerProtocol: p.ServerProtocol(),
 			Timing: timing, RetrySlack: cmp.Or(settings.Platform.RetrySlack, platformRetrySlack),
 			Run: p.Run, Leave: p.Leave, SetReadMode: p.SetReadMode, SourceCurrent: p.SourceCurrent,
+			SourceAge: p.SourceAge,
 		}
 	}
 }
--- a/internal/process/gwhost/backend.go
+++ b/internal/process/gwhost/backend.go
@@ -41,6 +41,8 @@
 	// reports whether it reads and its source answers.
 	SetReadMode   func(mode func() gw.ReadMode)
 	SourceCurrent func() bool
+	// SourceAge, if not nil, returns how long ago the store last answered this host's readings.
+	SourceAge func() time.Duration
 }
 
 // nativeBackend returns the clients for the project's own protocols.
--- a/internal/process/gwhost/host.go
+++ b/internal/process/gwhost/host.go
@@ -211,6 +211,9 @@
 	if h.backend.SourceCurrent != nil {
 		feedOptions = append(feedOptions, gwfeed.WithSourceCurrent(h.backend.SourceCurrent))
 	}
+	if h.backend.SourceAge != nil {
+		feedOptions = append(feedOptions, gwfeed.WithSourceAge(h.backend.SourceAge))
+	}
 	if h.backend.SetReadMode != nil {
 		feedOptions = append(feedOptions, gwfeed.WithMirroredSource())
 	}
--- a/internal/version/gwfeed/feed.go
+++ b/internal/version/gwfeed/feed.go
@@ -31,10 +31,11 @@
 	// relay that no longer answers, or that the store no longer answers, is noticed within them.
 	followWait     = time.Second
 	secondInterval = time.Second
-	// currentFor is how long the last answer of a relay with a current source counts.
-	currentFor = 1600 * time.Millisecond
+	// currentFor is how long the last answer of the store to a relay counts: one watch and the pause after it, and the time
+	// until the relay is asked next.
+	currentFor = 2200 * time.Millisecond
 	// sourceCycle is how far a relay whose source is current may be behind the store: one watch and the pause after it.
-	sourceCycle = 1650 * time.Millisecond
+	sourceCycle = 1150 * time.Millisecond
 	// lookInterval is the time between looks at the list of hosts while this one has no relay, or is none. It costs
 	// nothing, and a host that has just started knows no others yet.
 	lookInterval = 100 * time.Millisecond
@@ -67,8 +68,8 @@
 	sourceCurrent func() bool
 	// sourceAge returns how long ago the store last answered this host.
 	sourceAge func() time.Duration
-	interests     []gw.Topic
-	wantsAll      func() bool
+	interests []gw.Topic
+	wantsAll  func() bool
 	// sourceMirrored is set when the source keeps a copy of the store as ReadMode says, so that reading it costs no call.
 	sourceMirrored bool
 	topology       atomic.Pointer[topology]
@@ -77,6 +78,8 @@
 	// currentAt is when a relay with a current source last answered, nil before the first time. It has no lock, since what
 	// applies an item may ask for it.
 	currentAt atomic.Pointer[time.Time]
+	// sourceAnsweredAt is when the store last answered a relay that has answered this host, nil before the first time.
+	sourceAnsweredAt atomic.Pointer[time.Time]
 
 	mu       sync.Mutex
 	own      map[gw.Topic]struct{}
@@ -169,7 +172,10 @@
 	if err != nil {
 		f.log.Error("items cannot be encoded for another host", "host", string(req.Host), "error", err)
 	}
-	return gw.PullReply{Instance: f.instance, Items: items, SourceCurrent: f.sourceCurrent()}
+	return gw.PullReply{
+		Instance: f.instance, Items: items, SourceCurrent: f.sourceCurrent(),
+		SourceAgeMilliseconds: f.sourceAge().Milliseconds(),
+	}
 }
 
 // Accept keeps the items that another host offers.
@@ -286,6 +292,10 @@
 	if reply.SourceCurrent {
 		now := time.Now()
 		f.currentAt.Store(&now)
+		answeredAt := now.Add(-time.Duration(reply.SourceAgeMilliseconds) * time.Millisecond)
+		if last := f.sourceAnsweredAt.Load(); last == nil || last.Before(answeredAt) {
+			f.sourceAnsweredAt.Store(&answeredAt)
+		}
 	}
 	return len(reply.Items) > 0, err
 }
--- a/internal/version/gwfeed/readmode.go
+++ b/internal/version/gwfeed/readmode.go
@@ -37,9 +37,9 @@
 	}
 }
 
-// current reports whether a relay whose source is current has answered this host lately.
+// current reports whether the store has lately answered a relay that has answered this host.
 func (f *Feed) current() bool {
-	at := f.currentAt.Load()
+	at := f.sourceAnsweredAt.Load()
 	return at != nil && time.Since(*at) < currentFor
 }
 
