settings: a planned stop lasts as long as the platform allows

Reported by operators of similar systems: requests that came late in a planned stop were taken, passed on, and cut with no answer at its end.

Here requests are taken for 2.5 s after the signal and refused after that (not-run), and those that outlast the stop get an answer 150 ms before its end. But the stop always ended after 5.5 s: where the platform kills after 10 s, as on the large site, a request taken in the first seconds was answered without its server at 5.35 s, though 4 s were left for it.

Change: kill-after, the time until the kill, filled in from the platform's grace. Before: 5.5 s whatever the platform allows. After: TestPlannedStopUsesTheTimeUntilTheKill, 9.5 s of 10, 5.5 s of 6. A kill-after that is no duration, or leaves no time after drain-milliseconds, is an error.

--- a/internal/process/gwhost/stop.go
+++ b/internal/process/gwhost/stop.go
@@ -37,7 +37,7 @@
 // process reports at once that it is not ready, but accepts requests until the balancer has had time to notice.
 func (h *Host) stop(l listeners) {
 	settings := h.settings.Load()
-	deadline := time.Now().Add(time.Duration(settings.StopMilliseconds) * time.Millisecond)
+	deadline := settings.StopDeadline(time.Now())
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	h.stopping.Store(true)
--- a/internal/process/gwsettings/reload.go
+++ b/internal/process/gwsettings/reload.go
@@ -18,6 +18,7 @@
 	merged := s
 	merged.Log.Level = next.Log.Level
 	merged.DrainMilliseconds, merged.StopMilliseconds = next.DrainMilliseconds, next.StopMilliseconds
+	merged.KillAfter = next.KillAfter
 	return merged, Changes{Applied: differences(s, merged), AfterRestart: differences(merged, next)}
 }
 
--- a/internal/process/gwsettings/settings.go
+++ b/internal/process/gwsettings/settings.go
@@ -41,8 +41,11 @@
 	// DrainMilliseconds is the time between the moment at which a stopping process reports that it is not ready
 	// and the moment at which it refuses new requests. It is longer than the balancer takes to notice.
 	DrainMilliseconds int64 `json:"drain-milliseconds"`
-	// StopMilliseconds bounds a planned stop.
+	// StopMilliseconds bounds a planned stop when KillAfter is empty.
 	StopMilliseconds int64 `json:"stop-milliseconds"`
+	// KillAfter is the time from the signal to stop until the process is killed, as in 6s. A planned stop ends shortly
+	// before.
+	KillAfter string `json:"kill-after,omitempty"`
 }
 
 // Platform holds the addresses and data centres of the users' platform.
@@ -216,12 +219,7 @@
 	if s.LinkMegabits < 0 {
 		fail("link-megabits", "is negative", "Mbit/s, 0 when they are not known")
 	}
-	if s.DrainMilliseconds < 0 {
-		fail("drain-milliseconds", "is negative", "0 or more")
-	}
-	if s.StopMilliseconds <= s.DrainMilliseconds {
-		fail("stop-milliseconds", "is not above drain-milliseconds", "more than drain-milliseconds")
-	}
+	s.checkStop(fail)
 	return errs
 }
 
--- a/internal/process/gwsettings/settings_test.go
+++ b/internal/process/gwsettings/settings_test.go
@@ -5,6 +5,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/rogpeppe/go-internal/txtar"
 	"github.com/stretchr/testify/require"
@@ -49,3 +50,23 @@
 	_, err := gwsettings.Load("testdata/missing.json", gwsettings.Overrides{})
 	require.ErrorIs(t, err, os.ErrNotExist)
 }
+
+// Guards against a planned stop that cuts requests off seconds before the process is killed, because its time does not
+// follow that of the platform: with 10 s until the kill, requests were cut after 5.5 s.
+func TestPlannedStopUsesTheTimeUntilTheKill(t *testing.T) {
+	begin := time.Date(2026, 12, 5, 0, 0, 0, 0, time.UTC)
+	for text, want := range map[string]time.Duration{
+		`"kill-after": "10s", "drain-milliseconds": 2500`:       9500 * time.Millisecond,
+		`"kill-after": "6s", "drain-milliseconds": 2500`:        5500 * time.Millisecond,
+		`"stop-milliseconds": 7000, "drain-milliseconds": 2500`: 7 * time.Second,
+	} {
+		name := filepath.Join(t.TempDir(), "settings.json")
+		complete := `{"host": "h1", "region": "r", "data-centre": "a", "listen": {"callers": "127.0.0.1:1",
+			"relay": "127.0.0.1:2", "peers": "127.0.0.1:3", "operators": "127.0.0.1:4"},
+			"store-endpoints": ["127.0.0.1:7000"], "host-list-endpoints": ["127.0.0.1:7001"], ` + text + "}"
+		require.NoError(t, os.WriteFile(name, []byte(complete), 0o600))
+		s, err := gwsettings.Load(name, gwsettings.Overrides{})
+		require.NoError(t, err, text)
+		require.Equal(t, want, s.StopDeadline(begin).Sub(begin), text)
+	}
+}
