--- a/internal/process/gwlease/relief.go
+++ b/internal/process/gwlease/relief.go
@@ -25,8 +25,8 @@
 const reliefInterval = 500 * time.Millisecond
 
 // askForRelief asks a candidate to take over while this controller cannot reach the store or any server, which other
-// hosts may still reach. The controller continues until the record names a successor, so a candidate that cannot commit either
-// has no effect. A stopping controller does not ask, because candidates take over from it anyway.
+// hosts may still reach. The controller continues until the record names a successor, so a candidate that cannot commit
+// either has no effect. A stopping controller does not ask, because candidates take over from it anyway.
 func (c *Core) askForRelief() {
 	storeLost := c.store.failures >= reliefFailures
 	if c.stopping || !storeLost && !c.cutOff {
--- a/internal/request/gwdispatch/grant.go
+++ b/internal/request/gwdispatch/grant.go
@@ -139,10 +139,10 @@
 	s.advance(now)
 }
 
-// endOfRight returns when the right to send to the server ends. When no controller renews the lease, the dispatcher goes
-// on for the overrun of the server: such a server checks the ownership of keys itself, and refusing would fail all its
-// callers. The rate of a cold server and the limit that a server names hold over all senders, and a leaving server must
-// soon get no requests, so these end with the lease.
+// endOfRight returns when the right to send to the server ends. When no controller renews the lease, the dispatcher
+// goes on for the overrun of the server: such a server checks the ownership of keys itself, and refusing would fail all
+// its callers. The rate of a cold server and the limit that a server names hold over all senders, and a leaving server
+// must soon get no requests, so these end with the lease.
 func (s *serverState) endOfRight() time.Time {
 	if s.server.Leaving || s.server.ColdRequestsPerSecond > 0 || s.serverLimit.perSecond > 0 {
 		return s.leaseEnd
--- a/internal/request/gwdispatch/limit_test.go
+++ b/internal/request/gwdispatch/limit_test.go
@@ -12,11 +12,9 @@
 // limitReplay sends a steady load to a server that names a limit for a while. The server's dispatcher changes in the
 // middle of it.
 type limitReplay struct {
-	t       *testing.T
-	now     time.Time
-	state   *serverState
-	running []*request
-	starts  []time.Time
+	now    time.Time
+	state  *serverState
+	starts []time.Time
 }
 
 const (
@@ -55,7 +53,7 @@
 // Load pattern: three times as many requests as a server in need says that it takes. Guards against a limit that is not
 // kept, is filled anew by the next dispatcher of the server, or outlasts the need.
 func TestLimitOfServerIsKept(t *testing.T) {
-	p := &limitReplay{t: t, now: epochStart}
+	p := &limitReplay{now: epochStart}
 	p.lease(0, 1)
 	var former *serverState
 	for ms := int64(0); ms < limitEnd; ms += limitStep {
@@ -96,7 +94,7 @@
 
 // Guards against a request that waits for a limited server although its turn comes after its deadline.
 func TestRequestBeyondLimitIsRefusedAtOnce(t *testing.T) {
-	p := &limitReplay{t: t, now: epochStart}
+	p := &limitReplay{now: epochStart}
 	p.lease(limitRate, 1)
 	var last *request
 	for range 8 {
--- a/internal/request/gwdispatch/pause.go
+++ b/internal/request/gwdispatch/pause.go
@@ -6,8 +6,9 @@
 	gw "github.com/geraniumworks/geraniumworks"
 )
 
-// A server that has too much to do may ask this host for no requests for a while, or name how many it takes a second, and
-// one that is about to end says in its answers that it leaves. All of this comes with the answers of requests, sooner than through the host list.
+// A server that has too much to do may ask this host for no requests for a while, or name how many it takes a second.
+// One that is about to end says in its answers that it leaves. All of this comes with the answers of requests, sooner
+// than through the host list.
 
 // noteAnswer applies what the answer to a request says about further requests.
 func (s *serverState) noteAnswer(now time.Time, r *request, result gw.AttemptResult) {
--- a/internal/standin/gwsilence/listener.go
+++ b/internal/standin/gwsilence/listener.go
@@ -6,7 +6,6 @@
 	"net"
 	"sync"
 	"sync/atomic"
-	"unsafe"
 
 	"golang.org/x/sys/unix"
 )
@@ -82,7 +81,7 @@
 		return err
 	}
 	dropAll := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K, K: 0}}
-	program := unix.SockFprog{Len: uint16(len(dropAll)), Filter: unsafe.SliceData(dropAll)}
+	program := unix.SockFprog{Len: uint16(len(dropAll)), Filter: &dropAll[0]}
 	var attachErr error
 	if err := raw.Control(func(fd uintptr) {
 		attachErr = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &program)
--- a/internal/version/gwfeed/feed.go
+++ b/internal/version/gwfeed/feed.go
@@ -31,8 +31,8 @@
 	// relay that no longer answers, or that the store no longer answers, is noticed within them.
 	followWait     = time.Second
 	secondInterval = time.Second
-	// currentFor is how long the last answer of the store to a relay counts: one watch and the pause after it, and the time
-	// until the relay is asked next.
+	// currentFor is how long the last answer of the store to a relay counts: one watch and the pause after it, and the
+	// time until the relay is asked next.
 	currentFor = 2200 * time.Millisecond
 	// sourceCycle is how far a relay whose source is current may be behind the store: one watch and the pause after it.
 	sourceCycle = 1150 * time.Millisecond
