--- a/internal/process/gwlease/simaction_test.go
+++ b/internal/process/gwlease/simaction_test.go
@@ -49,6 +49,19 @@
 		m.operatorStopped(i, p, a.For)
 	case "cut-host":
 		m.cutFor(string(p.name), a.For)
+	case "cut-host-from-servers":
+		for _, server := range m.servers {
+			m.cutFor(string(p.name)+"|"+string(server.entry.Name), a.For)
+		}
+		tell := func(cutOff bool) func() {
+			return func() {
+				for _, c := range p.cores {
+					m.step(p, c, ReachChanged{CutOff: cutOff})
+				}
+			}
+		}
+		m.after(800*time.Millisecond, tell(true))
+		m.after(a.For, tell(false))
 	case "cut-host-from-store":
 		m.cutFor("store:"+string(p.name), a.For)
 	case "cut-host-from-hosts", "cut-controller-from-hosts":
--- a/internal/request/gwdispatch/dispatcher_test.go
+++ b/internal/request/gwdispatch/dispatcher_test.go
@@ -250,3 +250,16 @@
 		require.Empty(t, d.OutlierServers("stamps"), "the server is on trial")
 	})
 }
+
+// Guards against controllers that leave servers with a dispatcher that reaches none of them.
+func TestCutOffDispatcherAsksForOthers(t *testing.T) {
+	d := New(WithInstance("i"))
+	lease := gw.DispatchLease{Cell: gw.CellID{Service: "stamps"}, Epoch: 1, Sequence: 1}
+	for _, cutOff := range []bool{false, true, false} {
+		d.SetCutOff(cutOff)
+		status, err := d.Renew(lease)
+		require.NoError(t, err)
+		require.Equal(t, cutOff, status.Stopping)
+		lease.Sequence++
+	}
+}
