--- a/internal/process/gwreach/reach.go
+++ b/internal/process/gwreach/reach.go
@@ -26,6 +26,8 @@
 	evidence evidence
 }
 
+var _ gw.Reach = (*Reach)(nil)
+
 // Option configures a Reach.
 type Option func(*Reach)
 
@@ -48,12 +50,12 @@
 	return r
 }
 
-// CutOff reports whether this host has lost its path to all servers.
+// CutOff implements gw.Reach.
 func (r *Reach) CutOff() bool {
 	return r.cutOff.Load()
 }
 
-// Answered notes that the server at an address has answered.
+// Answered implements gw.Reach.
 func (r *Reach) Answered(address string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -61,7 +63,7 @@
 	r.set(false)
 }
 
-// Failed notes that a server could not be reached, or that its connection was lost or silent.
+// Failed implements gw.Reach.
 func (r *Reach) Failed(name gw.ServerName, address string) {
 	now := time.Now()
 	r.mu.Lock()
--- a/internal/request/gwrelay/options.go
+++ b/internal/request/gwrelay/options.go
@@ -9,15 +9,7 @@
 	"github.com/geraniumworks/geraniumworks/internal/request/gwforward"
 )
 
-// Reach learns whether this host reaches servers.
-type Reach interface {
-	// CutOff reports whether this host reaches no server, although others may.
-	CutOff() bool
-	Answered(address string)
-	Failed(server gw.ServerName, address string)
-}
-
-// noReach is the Reach of a relay that does not watch it.
+// noReach is for a relay that does not watch whether it reaches servers.
 type noReach struct{}
 
 func (noReach) CutOff() bool                 { return false }
@@ -32,7 +24,7 @@
 	Region     gw.RegionName
 	Barred     func(gw.ServerName) bool
 	Leaving    func(gw.ServerName, gw.Incarnation)
-	Reach      Reach
+	Reach      gw.Reach
 	Logger     *slog.Logger
 	Registerer prometheus.Registerer
 }
@@ -84,6 +76,6 @@
 
 // WithReach sets what learns from attempts whether this host reaches servers. While it reaches none, requests are
 // refused at once. By default this is not watched.
-func WithReach(r Reach) Option {
+func WithReach(r gw.Reach) Option {
 	return func(o *Options) { o.Reach = r }
 }
--- a/server.go
+++ b/server.go
@@ -102,3 +102,13 @@
 	Drain(ctx context.Context, server ServerRef) (ServerStatus, error)
 	Load(ctx context.Context, server ServerRef) (LoadReport, error)
 }
+
+// Reach learns from attempts whether this host reaches backend servers.
+type Reach interface {
+	// CutOff reports whether this host reaches no server, although others may.
+	CutOff() bool
+	// Answered notes that the server at an address, an IP and port, has answered.
+	Answered(address string)
+	// Failed notes that a server could not be reached, or that its connection was lost or silent.
+	Failed(server ServerName, address string)
+}
