dispatch: one pace for cold and for limited servers

serverLimit repeated how rateLimiter spaces starts: next start, least wait, interval. Both use pace now; only the credit after a time without requests differs, none for a cold server.

--- a/internal/request/gwdispatch/ratelimiter.go
+++ b/internal/request/gwdispatch/ratelimiter.go
@@ -9,10 +9,9 @@
 // rateLimiter spaces the requests to a cold server, whatever its slots would permit. Otherwise a server that comes
 // back while requests wait for it would get a request in each of its slots at once.
 type rateLimiter struct {
-	// warmAt is when the server is warm, interval the time between two requests before that.
-	warmAt    time.Time
-	interval  time.Duration
-	nextStart time.Time
+	// warmAt is when the server is warm. The pace holds before that.
+	warmAt time.Time
+	pace   pace
 }
 
 // coldRateShare is the share of a cold server's rate that is used. The rest is for requests that were already sent
@@ -26,17 +25,17 @@
 		return
 	}
 	p.warmAt = origin.Add(time.Duration(server.ColdUntil) * time.Millisecond)
-	p.interval = time.Duration(float64(time.Second) / (server.ColdRequestsPerSecond * coldRateShare))
+	p.pace.interval = time.Duration(float64(time.Second) / (server.ColdRequestsPerSecond * coldRateShare))
 }
 
 // admits reports whether a request may start now.
 func (p *rateLimiter) admits(now time.Time) bool {
-	return !now.Before(p.warmAt) || !now.Before(p.nextStart)
+	return !now.Before(p.warmAt) || p.pace.admits(now)
 }
 
 func (p *rateLimiter) started(now time.Time) {
 	if now.Before(p.warmAt) {
-		p.nextStart = latest(p.nextStart, now).Add(p.interval)
+		p.pace.started(now, 0)
 	}
 }
 
@@ -45,7 +44,7 @@
 	if !now.Before(p.warmAt) {
 		return 0
 	}
-	return max(p.nextStart.Sub(now), 0) + time.Duration(ahead)*p.interval
+	return p.pace.minWait(now, ahead)
 }
 
 // wakeAt returns when the result of admits may change, zero when it will not.
@@ -53,5 +52,5 @@
 	if p.admits(now) {
 		return time.Time{}
 	}
-	return earliest(p.nextStart, p.warmAt)
+	return earliest(p.pace.nextStart, p.warmAt)
 }
--- a/internal/request/gwdispatch/serverlimit.go
+++ b/internal/request/gwdispatch/serverlimit.go
@@ -14,9 +14,7 @@
 	perSecond float64
 	// namedAt is when an answer last named the limit.
 	namedAt time.Time
-	// nextStart is when a request may start. It may be in the past by one interval, so that a request that comes late does
-	// not lower the rate.
-	nextStart time.Time
+	pace    pace
 	// heard is set once an answer to this dispatcher has shown whether the server names a limit.
 	heard bool
 }
@@ -32,8 +30,9 @@
 	}
 	fresh := l.perSecond == 0
 	l.perSecond, l.namedAt = max(perSecond, minLimitPerSecond), now
-	if next := now.Add(l.interval()); fresh || l.nextStart.After(next) {
-		l.nextStart = next
+	l.pace.interval = time.Duration(float64(time.Second) / l.perSecond)
+	if next := now.Add(l.pace.interval); fresh || l.pace.nextStart.After(next) {
+		l.pace.nextStart = next
 	}
 }
 
@@ -59,18 +58,15 @@
 	}
 }
 
-func (l *serverLimit) interval() time.Duration {
-	return time.Duration(float64(time.Second) / l.perSecond)
-}
-
 // admits reports whether a request may start now.
 func (l *serverLimit) admits(now time.Time) bool {
-	return l.perSecond == 0 || !now.Before(l.nextStart)
+	return l.perSecond == 0 || l.pace.admits(now)
 }
 
 func (l *serverLimit) started(now time.Time) {
 	if l.perSecond > 0 {
-		l.nextStart = latest(l.nextStart, now.Add(-l.interval())).Add(l.interval())
+		// One interval of credit, so that a request that comes late does not lower the rate.
+		l.pace.started(now, l.pace.interval)
 	}
 }
 
@@ -79,7 +75,7 @@
 	if l.perSecond == 0 {
 		return 0
 	}
-	return max(l.nextStart.Sub(now), 0) + time.Duration(ahead)*l.interval()
+	return l.pace.minWait(now, ahead)
 }
 
 // wakeAt returns when the result of admits changes, zero when it does not.
@@ -87,5 +83,5 @@
 	if l.admits(now) {
 		return time.Time{}
 	}
-	return l.nextStart
+	return l.pace.nextStart
 }
