lease, reach: ticks carry whether the host is cut off; gwpool's type for dials

The control loop kept per cell what it had last told the controller, and an input of its own carried each change. The tick, which each controller gets every 100 ms from the same loop, says it now. gwreach had declared the type of dial functions that gwpool has. No change of behaviour; the script controller-reaches-no-server sets the state in the simulation, its expectations are the same.

--- a/internal/process/gwcontrol/loop.go
+++ b/internal/process/gwcontrol/loop.go
@@ -85,8 +85,6 @@
 	directoryVersions map[gw.CellID]gw.ItemVersion
 	loadVersions      map[gw.CellID]gw.ItemVersion
 	recordVersion     gw.StoreVersion
-	// cutOff is what the controller was last told about the path to servers.
-	cutOff bool
 	// nextPlacement is the earliest time for the next call of the placement policy.
 	nextPlacement time.Time
 }
@@ -266,16 +264,12 @@
 	if number != l.listingNumber && !slices.Equal(listing.Hosts, l.hosts) {
 		l.chooseCells(ctx, listing.Hosts)
 	}
-	cutOff := l.cutOff()
+	tick := gwlease.Tick{CutOff: l.cutOff()}
 	for _, c := range l.cells {
 		if number != l.listingNumber {
 			l.step(ctx, c, gwlease.HostsListed{Listing: listing})
 		}
-		if c.cutOff != cutOff {
-			c.cutOff = cutOff
-			l.step(ctx, c, gwlease.ReachChanged{CutOff: cutOff})
-		}
-		l.step(ctx, c, gwlease.Tick{})
+		l.step(ctx, c, tick)
 	}
 	l.listingNumber = number
 	l.finishStop()
--- a/internal/process/gwlease/core.go
+++ b/internal/process/gwlease/core.go
@@ -101,6 +101,7 @@
 func (c *Core) apply(in Input) {
 	switch in := in.(type) {
 	case Tick:
+		c.cutOff = in.CutOff
 		c.dropLateRequests()
 	case ConfigChanged:
 		c.configChanged(in.Config)
@@ -128,8 +129,6 @@
 		c.planProposed(in.Plan)
 	case StopRequested:
 		c.stop()
-	case ReachChanged:
-		c.cutOff = in.CutOff
 	}
 }
 
--- a/internal/process/gwlease/messages.go
+++ b/internal/process/gwlease/messages.go
@@ -8,7 +8,10 @@
 type Input interface{ input() }
 
 // Tick reports that time has passed. The control loop sends one every 100 ms.
-type Tick struct{}
+type Tick struct {
+	// CutOff is set while this host reaches no server, of this cell or any other.
+	CutOff bool
+}
 
 // ConfigChanged carries the configuration in force.
 type ConfigChanged struct{ Config gw.Config }
@@ -87,10 +90,6 @@
 // StopRequested starts a planned stop: the Core hands the cell over and never becomes controller again.
 type StopRequested struct{}
 
-// ReachChanged says whether this host reaches no server, of this cell or any other.
-type ReachChanged struct{ CutOff bool }
-
-func (ReachChanged) input()       {}
 func (Tick) input()               {}
 func (ConfigChanged) input()      {}
 func (HostsListed) input()        {}
--- a/internal/process/gwlease/sim_test.go
+++ b/internal/process/gwlease/sim_test.go
@@ -93,9 +93,11 @@
 	pausedAt time.Duration
 	// pauseAfterStep pauses the process after its next step, before the step's outputs are sent.
 	pauseAfterStep bool
-	waiting        []func()
-	cores          []*Core
-	dispatch       map[gw.DataCentreName]*simDispatcher
+	// cutOff is set while the process knows that it reaches no server.
+	cutOff   bool
+	waiting  []func()
+	cores    []*Core
+	dispatch map[gw.DataCentreName]*simDispatcher
 }
 
 type sim struct {
@@ -280,7 +282,7 @@
 	}
 	m.whenRunning(p, func() {
 		for _, c := range p.cores {
-			m.step(p, c, Tick{})
+			m.step(p, c, Tick{CutOff: p.cutOff})
 		}
 		m.proposePlans(p)
 		m.sendRequests(p)
--- a/internal/process/gwlease/simaction_test.go
+++ b/internal/process/gwlease/simaction_test.go
@@ -53,15 +53,8 @@
 		for _, server := range m.servers {
 			m.cutFor(string(p.name)+"|"+string(server.entry.Name), a.For)
 		}
-		tell := func(cutOff bool) func() {
-			return func() {
-				for _, c := range p.cores {
-					m.step(p, c, ReachChanged{CutOff: cutOff})
-				}
-			}
-		}
-		m.after(800*time.Millisecond, tell(true))
-		m.after(a.For, tell(false))
+		m.after(800*time.Millisecond, func() { p.cutOff = true })
+		m.after(a.For, func() { p.cutOff = false })
 	case "cut-host-from-store":
 		m.cutFor("store:"+string(p.name), a.For)
 	case "cut-host-from-hosts", "cut-controller-from-hosts":
--- a/internal/process/gwreach/reach.go
+++ b/internal/process/gwreach/reach.go
@@ -9,14 +9,12 @@
 	"time"
 
 	gw "github.com/geraniumworks/geraniumworks"
+	"github.com/geraniumworks/geraniumworks/internal/connection/gwpool"
 )
 
-// DialFunc opens a connection.
-type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
-
 // Reach collects what attempts at servers show about the path to them. It is safe for concurrent use.
 type Reach struct {
-	dial     DialFunc
+	dial     gwpool.DialFunc
 	onChange func(cutOff bool)
 	cutOff   atomic.Bool
 	// suspected gets a value when evidence is to be checked.
@@ -32,7 +30,7 @@
 type Option func(*Reach)
 
 // WithDial sets how connections are opened. By default a net.Dialer opens them.
-func WithDial(dial DialFunc) Option {
+func WithDial(dial gwpool.DialFunc) Option {
 	return func(r *Reach) { r.dial = dial }
 }
 
