--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -201,12 +201,12 @@
 		header["X-Not-Executed"] = "1"
 		return http.StatusMisdirectedRequest, header, nil
 	}
-	switch {
-	case r.URL.Path == "/grant":
+	switch r.URL.Path {
+	case "/grant":
 		return s.grant(body, arrived), header, nil
-	case r.URL.Path == "/release":
+	case "/release":
 		return s.release(body, header), header, nil
-	case r.URL.Path == "/health":
+	case "/health":
 		s.f.mu.Lock()
 		defer s.f.mu.Unlock()
 		header["X-Server-Load"] = fmt.Sprintf("%d,%d,%d", s.total, s.waiting, slots)
