control: a record that cannot be decoded is logged and counted

Change: a log line with key, version, size and reason, once for each version, and the counter geraniumworks_control_unreadable_records_total by key. No change of behaviour.

--- a/internal/process/gwcontrol/actions.go
+++ b/internal/process/gwcontrol/actions.go
@@ -137,12 +137,23 @@
 func (l *Loop) decodeRecord(value gw.StoredValue) (gw.Assignment, error) {
 	a, err := gw.DecodeAssignment(value.Data)
 	if err != nil {
+		l.reportUnreadable(value, err)
 		return a, eris.Wrapf(err, "read %s", value.Key)
 	}
 	l.publishAssignment(gwtable.Record{StoreVersion: value.Version, Assignment: a})
 	return a, nil
 }
 
+// reportUnreadable counts a record that cannot be decoded, and logs it once for each version.
+func (l *Loop) reportUnreadable(value gw.StoredValue, err error) {
+	l.counters.unreadable.WithLabelValues(value.Key).Inc()
+	if last, ok := l.unreadable.Swap(value.Key, value.Version); ok && last == value.Version {
+		return
+	}
+	l.log.Error("record in the store cannot be read", "key", value.Key, "version", uint64(value.Version),
+		"bytes", len(value.Data), "error", err)
+}
+
 func (l *Loop) commitAssignment(ctx context.Context, out gwlease.CommitAssignment) gwlease.CommitDone {
 	done := gwlease.CommitDone{ID: out.ID}
 	data, err := gw.EncodeAssignment(out.Next)
--- a/internal/process/gwcontrol/counters.go
+++ b/internal/process/gwcontrol/counters.go
@@ -8,6 +8,7 @@
 	stepSeconds prometheus.Counter
 	cells       prometheus.Gauge
 	standby     prometheus.Gauge
+	unreadable  *prometheus.CounterVec
 }
 
 func newCounters() counters {
@@ -32,11 +33,15 @@
 			Name: "geraniumworks_control_standby_cells",
 			Help: "Cells of which this host keeps the state, because it controls them or may soon have to.",
 		}),
+		unreadable: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "geraniumworks_control_unreadable_records_total",
+			Help: "Reads of a record of the store that cannot be decoded, by its key.",
+		}, []string{"key"}),
 	}
 }
 
 func (c counters) register(r prometheus.Registerer) {
-	r.MustRegister(c.events, c.actions, c.stepSeconds, c.cells, c.standby)
+	r.MustRegister(c.events, c.actions, c.stepSeconds, c.cells, c.standby, c.unreadable)
 }
 
 func (c counters) countAction(kind string, err error) {
--- a/internal/process/gwcontrol/loop.go
+++ b/internal/process/gwcontrol/loop.go
@@ -55,6 +55,9 @@
 	log       *slog.Logger
 	counters  counters
 
+	// unreadable holds the version of each record that could not be decoded, by its key.
+	unreadable sync.Map
+
 	events       chan event
 	tasks        chan task
 	stopRequests chan chan struct{}
