record: a byte that is no UTF-8 no longer makes a key space unreadable

Cause: a server hands over a value with one byte above 0x7f. Records of more than eight ranges, and changes of the feed, are CBOR, whose text strings the encoder writes with any bytes and the decoder refuses. The first commit with such a handover makes the record unreadable for all hosts.

Ruled out: releases that are not acknowledged, refused grants and a record above the store's size (no such lines), and the feed alone (reads of the store fail too).

Change: - What the record cannot hold is not taken into it: a handover that is no UTF-8, or above 1 KiB, is dropped with the event handover-dropped, and the next owner starts without it. It could not be sent on with a grant either, whose body is JSON; below nine ranges JSON changed it silently. - EncodeAssignment and EncodeChange refuse what their readers would refuse or read as another value. - Readers accept such text and drop the field, so that records and changes written by earlier versions can be read. A controller then writes the record again (record-repaired), in the same format, so that hosts of earlier versions read it, too. That is the way out for a deployment that already suffers, also while old and new versions run side by side.

The simulation of gwlease hands over such values and reads each record as it was written: without the check of handovers four scripts fail, without the repair record-repaired does.

--- a/errors.go
+++ b/errors.go
@@ -13,7 +13,7 @@
 	ErrStoreUnavailable = errors.New("store is unavailable")
 	// ErrCallBudget reports that a call to the store was not made because its budget is used up.
 	ErrCallBudget = errors.New("store call budget is used up")
-	// ErrValueTooLarge reports a value above MaxValueBytes.
+	// ErrValueTooLarge reports a value above MaxValueBytes, or one that is too large to be read back.
 	ErrValueTooLarge = errors.New("value is too large for the store")
 
 	// ErrStaleEpoch reports that the receiver has already accepted a higher epoch of the cell.
@@ -27,6 +27,8 @@
 	// ErrPastDeadline reports that the deadline in a message had already passed on the receiver's clock.
 	ErrPastDeadline = errors.New("deadline has passed")
 
+	// ErrBadText reports a text that cannot be written so that it is read back unchanged.
+	ErrBadText = errors.New("text cannot be encoded")
 	// ErrBadRange reports an invalid range or an assignment whose ranges do not cover the key space.
 	ErrBadRange = errors.New("bad range")
 )
--- a/internal/process/gwcontrol/actions.go
+++ b/internal/process/gwcontrol/actions.go
@@ -125,7 +125,7 @@
 		in.Err = err
 		return in
 	}
-	if in.Assignment, err = l.decodeRecord(value); err != nil {
+	if in.Assignment, in.Repaired, err = l.decodeRecord(value); err != nil {
 		in.Err = err
 		return in
 	}
@@ -133,25 +133,32 @@
 	return in
 }
 
-// decodeRecord decodes the record of an assignment and publishes it.
-func (l *Loop) decodeRecord(value gw.StoredValue) (gw.Assignment, error) {
-	a, err := gw.DecodeAssignment(value.Data)
+// decodeRecord decodes the record of an assignment and publishes it. It reports whether fields of it could not be read.
+func (l *Loop) decodeRecord(value gw.StoredValue) (gw.Assignment, bool, error) {
+	a, repaired, err := gw.RepairAssignment(value.Data)
+	if err != nil || repaired > 0 {
+		l.reportUnreadable(value, repaired, err)
+	}
 	if err != nil {
-		l.reportUnreadable(value, err)
-		return a, eris.Wrapf(err, "read %s", value.Key)
+		return a, false, eris.Wrapf(err, "read %s", value.Key)
 	}
 	l.publishAssignment(gwtable.Record{StoreVersion: value.Version, Assignment: a})
-	return a, nil
+	return a, repaired > 0, nil
 }
 
-// reportUnreadable counts a record that cannot be decoded, and logs it once for each version.
-func (l *Loop) reportUnreadable(value gw.StoredValue, err error) {
+// reportUnreadable counts a record that cannot be decoded, as a whole or in some fields, and logs it once for each
+// version.
+func (l *Loop) reportUnreadable(value gw.StoredValue, fields int, err error) {
 	l.counters.unreadable.WithLabelValues(value.Key).Inc()
 	if last, ok := l.unreadable.Swap(value.Key, value.Version); ok && last == value.Version {
 		return
 	}
-	l.log.Error("record in the store cannot be read", "key", value.Key, "version", uint64(value.Version),
-		"bytes", len(value.Data), "error", err)
+	attrs := []any{"key", value.Key, "version", uint64(value.Version), "bytes", len(value.Data)}
+	if err != nil {
+		l.log.Error("record in the store cannot be read", append(attrs, "error", err)...)
+		return
+	}
+	l.log.Warn("fields of a record in the store cannot be read, they are dropped", append(attrs, "fields", fields)...)
 }
 
 func (l *Loop) commitAssignment(ctx context.Context, out gwlease.CommitAssignment) gwlease.CommitDone {
@@ -167,7 +174,7 @@
 	}
 	var conflict *gw.ConflictError
 	if errors.As(done.Err, &conflict) {
-		if done.Current, err = l.decodeRecord(conflict.Current); err != nil {
+		if done.Current, done.Repaired, err = l.decodeRecord(conflict.Current); err != nil {
 			l.log.Warn("record in the answer to a refused commit cannot be used, it is read", "error", err)
 			return done
 		}
--- a/internal/process/gwcontrol/counters.go
+++ b/internal/process/gwcontrol/counters.go
@@ -35,7 +35,7 @@
 		}),
 		unreadable: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "geraniumworks_control_unreadable_records_total",
-			Help: "Reads of a record of the store that cannot be decoded, by its key.",
+			Help: "Reads of a record of the store that cannot be decoded, as a whole or in some fields, by its key.",
 		}, []string{"key"}),
 	}
 }
--- a/internal/process/gwlease/commit.go
+++ b/internal/process/gwlease/commit.go
@@ -96,11 +96,14 @@
 			// The answer is a read of the record, made after the request was sent.
 			c.watch.readWanted = false
 			c.adoptRecord(in.Version, in.Current, r)
+			c.noteRepaired(in.Version, in.Repaired)
 			c.extendAuthority(r)
 			c.noteNotApplied(r.id)
 		}
 	case errors.Is(in.Err, gw.ErrValueTooLarge):
-		c.tooLarge(current)
+		c.dropWrite(current, "the record would be too large for the store")
+	case errors.Is(in.Err, gw.ErrBadText), errors.Is(in.Err, gw.ErrBadRange):
+		c.dropWrite(current, in.Err.Error())
 	default:
 		c.storeFailed()
 		// The store does not answer this host either, so there is no point in taking over from a controller that
@@ -128,13 +131,13 @@
 	}
 }
 
-// tooLarge drops a write that the store refuses because of its size, together with the planned splits.
-func (c *Core) tooLarge(current bool) {
+// dropWrite drops a write that can never be applied, together with the planned splits.
+func (c *Core) dropWrite(current bool, detail string) {
 	c.plan.Splits = nil
 	if current {
-		c.event(Event{Kind: EventMoveRefused, Detail: "the record would be too large for the store"})
+		c.event(Event{Kind: EventMoveRefused, Detail: detail})
 		c.write = nil
-		c.cancelMoves()
+		c.cancelMoves(detail)
 	}
 }
 
--- a/internal/process/gwlease/messages.go
+++ b/internal/process/gwlease/messages.go
@@ -33,18 +33,23 @@
 	Found      bool
 	Version    gw.StoreVersion
 	Assignment gw.Assignment
-	Err        error
+	// Repaired is set when fields of the record could not be read and are dropped.
+	Repaired bool
+	Err      error
 }
 
 // CommitDone answers CommitAssignment. Err is nil when the write was applied, gw.ErrConflict when it was not and
 // never will be, and any other error when the outcome is unknown. Found is set on a conflict when the answer
-// includes the stored record, in Version and Current.
+// includes the stored record, in Version and Current. gw.ErrValueTooLarge and gw.ErrBadText say that the assignment was
+// not sent, since it could not be read again.
 type CommitDone struct {
 	ID      uint64
 	Version gw.StoreVersion
 	Found   bool
 	Current gw.Assignment
-	Err     error
+	// Repaired is set when fields of Current could not be read and are dropped.
+	Repaired bool
+	Err      error
 }
 
 // ServerAnswered answers SendDescribe, SendGrant and SendRelease. Err is one of the errors of
@@ -197,6 +202,10 @@
 	EventTokenRaised       EventKind = "token-raised"
 	EventStoreRestored     EventKind = "store-restored"
 	EventRangesSettled     EventKind = "ranges-settled"
+	// EventHandoverDropped is a handover that the record cannot hold, so that the next owner starts without it.
+	EventHandoverDropped EventKind = "handover-dropped"
+	// EventRecordRepaired is the commit of a record of which fields could not be read.
+	EventRecordRepaired EventKind = "record-repaired"
 )
 
 // Event reports a change of state.
--- a/internal/process/gwlease/move.go
+++ b/internal/process/gwlease/move.go
@@ -256,6 +256,10 @@
 		if m := c.moves[first]; m != nil && m.from == s.entry.Name && m.releaseID == r.id {
 			m.freed = true
 			m.handover = handovers[first]
+			if !gw.ValidHandover(m.handover) {
+				c.event(Event{Kind: EventHandoverDropped, Server: s.entry.Name, First: first, Detail: "it is no text in UTF-8 or too long"})
+				m.handover = ""
+			}
 			c.progressNow = true
 		}
 	}
@@ -274,9 +278,9 @@
 	c.refuse(m.first, m.from, m.to, detail)
 }
 
-func (c *Core) cancelMoves() {
+func (c *Core) cancelMoves(detail string) {
 	for _, m := range sorted(c.moves) {
-		c.cancelMove(m, "the commit is too large")
+		c.cancelMove(m, detail)
 	}
 }
 
@@ -317,6 +321,9 @@
 	}
 	next, events = c.withRaisedTokens(next, events, token)
 	next, events = c.withSettledTokens(next, events, token)
+	if c.record.repaired {
+		events = append(events, Event{Kind: EventRecordRepaired})
+	}
 	if len(events) == 0 && !c.mustWriteBack() && c.raiseRevisionAbove < c.record.assignment.Revision {
 		return
 	}
--- a/internal/process/gwlease/record.go
+++ b/internal/process/gwlease/record.go
@@ -20,6 +20,9 @@
 	absent bool
 	// unwritten is set when the assignment has commits that the store has lost.
 	unwritten bool
+	// repaired is set when fields of the record could not be read. The next commit writes the record without them, so
+	// that hosts of earlier versions can read it, too.
+	repaired bool
 	// stale is set when a write found another version in the store.
 	stale  bool
 	readID uint64
@@ -115,10 +118,18 @@
 		return
 	}
 	c.adoptRecord(in.Version, in.Assignment, r)
+	c.noteRepaired(in.Version, in.Repaired)
 	c.extendAuthority(r)
 	c.noteNotApplied(r.id)
 }
 
+// noteRepaired records that fields of the stored record of a version could not be read.
+func (c *Core) noteRepaired(version gw.StoreVersion, repaired bool) {
+	if repaired && c.record.version == version {
+		c.record.repaired = true
+	}
+}
+
 // noRecord applies a read that found no record. If one is known, the read counts only when it was sent afterwards.
 func (c *Core) noRecord(r *request) {
 	if c.record.found && !c.record.absent {
@@ -154,7 +165,7 @@
 	}
 	c.record.loaded, c.record.found = true, true
 	c.record.version, c.record.assignment = version, a
-	c.record.absent, c.record.unwritten = absent, unwritten
+	c.record.absent, c.record.unwritten, c.record.repaired = absent, unwritten, false
 	c.record.knownID = c.lastRequestID
 	if known.unwritten && !unwritten {
 		// No read has extended the authority while there was something to write back.
--- a/internal/process/gwlease/script_test.go
+++ b/internal/process/gwlease/script_test.go
@@ -28,6 +28,8 @@
 //	epoch N                      compares the epoch in the store
 //	dispatched                   requires that the directory shows each server up and with a dispatcher
 //	slots SERVER N               compares the slots that the directory shows
+//	hands-over TEXT              sets what servers hand over with a release, as a Go string
+//	spoiled                      makes the stored record one of which fields cannot be read
 //	forget                       forgets events
 func TestScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{
@@ -36,6 +38,7 @@
 			"cell": scriptCell, "own": scriptOwn, "run": scriptRun, "act": scriptAct, "move": scriptMove, "split": scriptSplit,
 			"within": scriptWithin, "restore": scriptRestore, "served": scriptServed,
 			"expect": scriptExpect, "owner": scriptOwner, "epoch": scriptEpoch, "forget": scriptForget,
+			"hands-over": scriptHandsOver, "spoiled": scriptSpoiled,
 			"dispatched": scriptDispatched, "slots": scriptSlots,
 		},
 		Setup: func(env *testscript.Env) error {
@@ -181,6 +184,14 @@
 	}
 }
 
+func scriptHandsOver(ts *testscript.TestScript, _ bool, args []string) {
+	text, err := strconv.Unquote(`"` + args[0] + `"`)
+	ts.Check(err)
+	simOf(ts).handsOver = text
+}
+
+func scriptSpoiled(ts *testscript.TestScript, _ bool, _ []string) { simOf(ts).repaired = true }
+
 func scriptForget(ts *testscript.TestScript, _ bool, _ []string) { simOf(ts).events = nil }
 
 func scriptDispatched(ts *testscript.TestScript, _ bool, _ []string) {
--- a/internal/process/gwlease/sim_test.go
+++ b/internal/process/gwlease/sim_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"reflect"
 	"slices"
 	"strconv"
 	"time"
@@ -126,6 +127,11 @@
 	history []simRecord
 	// loseNextCommit, when set, is how long the store is away after the next change of an owner, which it loses.
 	loseNextCommit time.Duration
+	// repaired is set while the store has the record with fields that cannot be read, as hosts of an earlier version
+	// wrote it.
+	repaired bool
+	// handsOver replaces what servers with range fences hand over, unless it is empty.
+	handsOver string
 	// asRestored is set while the record is as it was in the copy.
 	asRestored bool
 	// revisionJumps is set until the first regular write of an era. A jump must lead above all earlier revisions.
@@ -536,7 +542,7 @@
 
 func (m *sim) read(p *simProcess, c *Core, o ReadAssignment) {
 	m.send(m.storeLinks(p), func() {
-		in := AssignmentRead{ID: o.ID, Found: m.version > 0, Version: m.version, Assignment: m.stored}
+		in := AssignmentRead{ID: o.ID, Found: m.version > 0, Version: m.version, Assignment: m.stored, Repaired: m.repaired}
 		if m.storeOff {
 			in = AssignmentRead{ID: o.ID, Err: gw.ErrStoreUnavailable}
 		}
@@ -545,6 +551,9 @@
 }
 
 func (m *sim) commit(p *simProcess, c *Core, o CommitAssignment) {
+	if _, err := gw.EncodeAssignment(o.Next); err != nil {
+		m.fail("a record is to be written that cannot be read: %v", err)
+	}
 	era := m.era
 	apply := func(answer bool) {
 		in := CommitDone{ID: o.ID, Version: gw.StoreVersion(m.era*simEraRevisions + simRevision(m.version) + 1)}
@@ -560,7 +569,7 @@
 			in.Err = gw.ErrConflict
 			if in.Found = o.ID%2 == 0; in.Found {
 				// Some conflict answers include the stored record.
-				in.Version, in.Current = m.version, m.stored
+				in.Version, in.Current, in.Repaired = m.version, m.stored, m.repaired
 			}
 		default:
 			before := m.stored
@@ -625,10 +634,23 @@
 	return highest
 }
 
+// checkReadable checks that the record is read as it is written.
+func (m *sim) checkReadable(next gw.Assignment) {
+	data, err := gw.EncodeAssignment(next)
+	if err != nil {
+		m.fail("the record cannot be written: %v", err)
+		return
+	}
+	if read, err := gw.DecodeAssignment(data); err != nil || !reflect.DeepEqual(read, next) {
+		m.fail("the record %+v is read as %+v: %v", next, read, err)
+	}
+}
+
 // write replaces the record and passes it on to all hosts.
 func (m *sim) write(next gw.Assignment) {
 	m.version = gw.StoreVersion(m.era*simEraRevisions + simRevision(m.version) + 1)
-	m.stored, m.asRestored = next, false
+	m.checkReadable(next)
+	m.stored, m.asRestored, m.repaired = next, false, false
 	m.log("store: version %d %+v", m.version, next)
 	m.history = append(m.history, simRecord{m.now, m.version, next})
 	in := AssignmentRead{Found: true, Version: m.version, Assignment: next}
--- a/internal/process/gwlease/simfence_test.go
+++ b/internal/process/gwlease/simfence_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -157,7 +158,7 @@
 			status := s.status(m.now)
 			status.Handovers = map[gw.Position]string{}
 			for _, r := range o.Release.Ranges {
-				status.Handovers[r.First] = "handover"
+				status.Handovers[r.First] = m.handoverOf(o.ID)
 			}
 			return end, status, nil, true
 		})
@@ -167,6 +168,20 @@
 	return true
 }
 
+// handoverOf returns what a server hands over with a release: what the record can hold, or not.
+func (m *sim) handoverOf(id uint64) string {
+	switch {
+	case m.handsOver != "":
+		return m.handsOver
+	case id%4 == 0:
+		return "handover\xff"
+	case id%4 == 1:
+		return strings.Repeat("h", gw.MaxHandoverBytes+1)
+	default:
+		return "handover"
+	}
+}
+
 func (m *sim) callFenced(
 	p *simProcess, c *Core, id uint64, name gw.ServerName,
 	do func(*simServer) (end time.Duration, status gw.ServerStatus, err error, answered bool),
--- a/record_change.go
+++ b/record_change.go
@@ -27,11 +27,15 @@
 	Handovers []string
 }
 
-// EncodeChange returns what turns one revision of an assignment into another of the same key space.
+// EncodeChange returns what turns one revision of an assignment into another of the same key space. It refuses what
+// EncodeAssignment refuses in the other revision.
 func EncodeChange(from, to Assignment) ([]byte, error) {
 	if from.KeySpace != to.KeySpace {
 		return nil, eris.Wrapf(ErrBadRange, "change from key space %s to %s", from.KeySpace, to.KeySpace)
 	}
+	if err := to.checkEncodable(); err != nil {
+		return nil, err
+	}
 	changed := Assignment{Revision: to.Revision, WriteID: to.WriteID}
 	change := changeColumns{CellsChanged: !slices.Equal(from.Cells, to.Cells)}
 	if change.CellsChanged {
@@ -59,10 +63,10 @@
 }
 
 // WithChange returns the assignment after a change that EncodeChange has made from this revision. It returns
-// ErrBadRange when the change does not fit.
+// ErrBadRange when the change does not fit. Fields that cannot be read are repaired, see RepairAssignment.
 func (a Assignment) WithChange(data []byte) (Assignment, error) {
 	var change changeColumns
-	if err := cbor.Unmarshal(data, &change); err != nil {
+	if err := recordDecoder.Unmarshal(data, &change); err != nil {
 		return a, eris.Wrapf(err, "decode change of %s", a.KeySpace)
 	}
 	changed, err := recordColumns{
@@ -72,9 +76,11 @@
 	if err != nil {
 		return a, err
 	}
-	next := a.WithRevision(change.Revision, change.WriteID)
+	changed.Revision, changed.WriteID, changed.Cells = change.Revision, change.WriteID, change.Cells
+	repairAssignment(&changed)
+	next := a.WithRevision(changed.Revision, changed.WriteID)
 	if change.CellsChanged {
-		next.Cells = change.Cells
+		next.Cells = changed.Cells
 	}
 	next.Ranges = make([]OwnedRange, 0, len(a.Ranges)+len(changed.Ranges))
 	removed, added := change.Removed, changed.Ranges
