lease: a record that is too large is written without handovers

What callers would see: a cell that nobody can take over and ranges that nobody can move, once what servers hand over has made the record as large as the store's largest value.

Cause: a commit that the store refuses for its size is dropped. A takeover keeps all handovers, so that its next try is refused as well, for good. A handover was not bounded at all before; with 1 KiB each, 1,000 ranges suffice.

Change: such a commit is repeated without handovers, which spare the next owners some time only. TestRecordThatIsTooLargeIsWrittenWithoutHandovers failed before.

--- a/internal/process/gwlease/commit.go
+++ b/internal/process/gwlease/commit.go
@@ -101,7 +101,7 @@
 			c.noteNotApplied(r.id)
 		}
 	case errors.Is(in.Err, gw.ErrValueTooLarge):
-		c.dropWrite(current, "the record would be too large for the store")
+		c.tooLarge(current)
 	case errors.Is(in.Err, gw.ErrBadText), errors.Is(in.Err, gw.ErrBadRange):
 		c.dropWrite(current, in.Err.Error())
 	default:
@@ -131,6 +131,20 @@
 	}
 }
 
+// tooLarge repeats a write that the store refuses because of its size without the handovers, since these grow with what
+// servers hand over. It drops a write without any, together with the planned splits.
+func (c *Core) tooLarge(current bool) {
+	if current {
+		if next, ok := c.write.next.WithoutHandovers(); ok {
+			c.event(Event{Kind: EventHandoverDropped, Detail: "the record would be too large for the store"})
+			w := c.write
+			c.startWrite(next, w.takeover, w.events)
+			return
+		}
+	}
+	c.dropWrite(current, "the record would be too large for the store")
+}
+
 // dropWrite drops a write that can never be applied, together with the planned splits.
 func (c *Core) dropWrite(current bool, detail string) {
 	c.plan.Splits = nil
--- a/ownership.go
+++ b/ownership.go
@@ -214,6 +214,18 @@
 	return a
 }
 
+// WithoutHandovers returns a copy without what former owners gave out, and whether there was anything.
+func (a Assignment) WithoutHandovers() (Assignment, bool) {
+	if !slices.ContainsFunc(a.Ranges, func(r OwnedRange) bool { return r.Handover != "" }) {
+		return a, false
+	}
+	a.Ranges = slices.Clone(a.Ranges)
+	for i := range a.Ranges {
+		a.Ranges[i].Handover = ""
+	}
+	return a, true
+}
+
 // WithSplit returns a copy with a range that starts at p and keeps owner and token of the range it was cut
 // from.
 func (a Assignment) WithSplit(p Position) Assignment {
