item: a value of any size is read back, or refused before it is sent

What callers would see: hosts that stay on an older configuration, or know none, while the operators' document is valid.

Cause: items are unpacked up to 4 MB, and packed without a bound. A configuration repeats the names of fields for each route: from a document of 1 MB, the store's bound, it becomes larger than that, and its readers see JSON that ends early.

Change: 32 MB unpacked, 32 times the largest document; what is larger is refused with ErrValueTooLarge when it is packed. TestItemOfAnySizeIsReadBackOrRefused failed before (5,242,880 bytes are sent and cannot be read).

--- a/item.go
+++ b/item.go
@@ -36,8 +36,9 @@
 	// packAbove is the size in bytes from which a value is compressed: an assignment of 100 ranges has 8 KB, and is sent
 	// to every host at each change, between regions too.
 	packAbove = 1 << 10
-	// unpackMost bounds an unpacked value; the store holds values up to 1 MB.
-	unpackMost = 4 << 20
+	// unpackMost bounds a value before it is packed, in bytes. A configuration repeats the names of fields for each route,
+	// which makes it some times as large as the operators' document of up to MaxValueBytes.
+	unpackMost = 32 * MaxValueBytes
 )
 
 var packers = sync.Pool{New: func() any {
@@ -49,7 +50,8 @@
 	return w
 }}
 
-// NewItem returns an item with a value, packed when it is large.
+// NewItem returns an item with a value, packed when it is large. It returns ErrValueTooLarge for a value that Decode
+// would not unpack.
 func NewItem(topic Topic, version ItemVersion, value any) (Item, error) {
 	data, err := json.Marshal(value)
 	if err != nil {
@@ -64,8 +66,11 @@
 	return item, eris.Wrapf(err, "pack item %s", topic)
 }
 
-// pack compresses data.
+// pack compresses data. It refuses what unpack would not return.
 func pack(data []byte) ([]byte, error) {
+	if len(data) > unpackMost {
+		return nil, eris.Wrapf(ErrValueTooLarge, "%d bytes before they are packed", len(data))
+	}
 	var buf bytes.Buffer
 	w := packers.Get().(*flate.Writer)
 	defer packers.Put(w)
@@ -81,7 +86,11 @@
 
 // unpack returns what was packed.
 func unpack(packed []byte) ([]byte, error) {
-	return io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), unpackMost))
+	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), unpackMost+1))
+	if err == nil && len(data) > unpackMost {
+		err = eris.Wrapf(ErrValueTooLarge, "more than %d bytes after they are unpacked", unpackMost)
+	}
+	return data, err
 }
 
 // Decode reads the value of the item.
