feed: what one item does not let through costs that item only

What callers would see: hosts without newer owners, or without a configuration, for good.

Causes, each with a test that failed before: - A change that cannot be read was sent again and again, by pulls and by offers: the receiver kept the version from which the change was made. It asks for the whole item now, once a change could not be read (TestUnreadableChangeIsReplacedByTheWholeItem, TestRelayAsksForTheWholeOfAnUnreadableChange). - An item that cannot be encoded failed the whole answer to a pull, at once, so that the other host got nothing and asked again without a pause (TestItemThatCannotBeEncodedHoldsUpNoOther). - Answers and offers were not bounded, while a message above 64 MB is refused by its reader and closes the connection (TestItemsAreSentInMessagesThatAreRead: 40 MB before, 16 MB and the rest with the next answers now).

The protocol is unchanged: a pull leaves out the version of such a topic, and an offer is answered with it under missing, which earlier versions answer with the whole item.

--- a/internal/version/gwfeed/feed.go
+++ b/internal/version/gwfeed/feed.go
@@ -180,7 +180,7 @@
 
 // Accept keeps the items that another host offers.
 func (f *Feed) Accept(req gw.OfferRequest) (gw.OfferReply, error) {
-	if err := f.put("offer", req.Items); err != nil {
+	if err := f.put("offer", req.Items); err != nil && !errors.Is(err, errUnreadableChange) {
 		return gw.OfferReply{}, err
 	}
 	reply := gw.OfferReply{Instance: f.instance}
@@ -278,7 +278,7 @@
 	req := gw.PullRequest{
 		From:             f.instance,
 		Host:             f.self.Name,
-		Have:             f.hub.Versions(),
+		Have:             f.hub.Have(),
 		Only:             f.only(),
 		WaitMilliseconds: wait.Milliseconds(),
 	}
--- a/internal/version/gwfeed/hub.go
+++ b/internal/version/gwfeed/hub.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"slices"
 	"strings"
@@ -17,6 +18,14 @@
 // pull 150 ms after news, and the cells of a key space commit a few times a second each.
 const earlierVersions = 8
 
+// maxReplyBytes bounds the items that are sent at once, in bytes of their values. The receiver asks for the others next.
+// It is a quarter of what a host reads as one message.
+const maxReplyBytes = 16 << 20
+
+// errUnreadableChange is returned for a change that cannot be applied to the version that it was made from. The whole
+// item may be in order.
+var errUnreadableChange = errors.New("change of an item cannot be read")
+
 // Hub holds the highest version of every item that this process has seen. It is safe for concurrent use.
 type Hub struct {
 	apply func(gw.Item) error
@@ -24,6 +33,8 @@
 	mu      sync.Mutex
 	items   map[gw.Topic]*heldItem
 	changed chan struct{}
+	// needsWhole holds the topics of which a change could not be read.
+	needsWhole map[gw.Topic]bool
 	// serves is set once another host has asked for items or is to be sent some. Earlier versions are kept since then.
 	serves bool
 }
@@ -39,7 +50,7 @@
 // NewHub returns a Hub that calls apply, in order and not concurrently, for each item that is newer than the one
 // held. An item for which apply returns an error is not kept.
 func NewHub(apply func(gw.Item) error) *Hub {
-	return &Hub{apply: apply, items: map[gw.Topic]*heldItem{}, changed: make(chan struct{})}
+	return &Hub{apply: apply, items: map[gw.Topic]*heldItem{}, needsWhole: map[gw.Topic]bool{}, changed: make(chan struct{})}
 }
 
 // Put keeps the items that are newer than those held and returns their topics. It returns the first error of
@@ -61,10 +72,14 @@
 		if err != nil && first == nil {
 			first = err
 		}
+		if errors.Is(err, errUnreadableChange) {
+			h.needsWhole[item.Topic] = true
+		}
 		if err != nil || !ok {
 			continue
 		}
 		h.keep(held, item)
+		delete(h.needsWhole, item.Topic)
 		kept = append(kept, item.Topic)
 	}
 	if len(kept) > 0 {
@@ -84,7 +99,7 @@
 		}
 		next, err := held.Assignment.WithChange(item.Change)
 		if err != nil {
-			return item, false, eris.Wrapf(err, "item %s", item.Topic)
+			return item, false, eris.Wrapf(errUnreadableChange, "item %s: %v", item.Topic, err)
 		}
 		item.Assignment, item.Base, item.Change = &next, nil, nil
 	case len(item.Record) > 0:
@@ -120,6 +135,18 @@
 	return versions
 }
 
+// Have returns the versions that other hosts need not send, and may send changes from. It leaves out the topics of
+// which a change could not be read, so that these are sent whole.
+func (h *Hub) Have() map[gw.Topic]gw.ItemVersion {
+	versions := h.Versions()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for topic := range h.needsWhole {
+		delete(versions, topic)
+	}
+	return versions
+}
+
 // Get returns the item held under topic.
 func (h *Hub) Get(topic gw.Topic) (gw.Item, bool) {
 	h.mu.Lock()
@@ -179,21 +206,21 @@
 }
 
 // Wait returns the items newer than those in have, ordered by topic, of the topics that begin with one of the prefixes
-// in only, of all topics when there are none. When there are no such items it waits until ctx ends and then returns
-// none.
+// in only, of all topics when there are none, up to maxReplyBytes. When there are no such items it waits until ctx ends
+// and then returns none. The error names items that cannot be encoded; it does not hold up the others.
 func (h *Hub) Wait(ctx context.Context, have map[gw.Topic]gw.ItemVersion, only ...gw.Topic) ([]gw.Item, error) {
 	h.mu.Lock()
 	h.serves = true
 	h.mu.Unlock()
 	for {
 		items, changed, err := h.newer(have, only)
-		if len(items) > 0 || err != nil {
+		if len(items) > 0 {
 			return items, err
 		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return nil, nil
+			return nil, err
 		}
 	}
 }
@@ -202,6 +229,8 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var items []gw.Item
+	var failed error
+	bytes := 0
 	for _, topic := range slices.Sorted(maps.Keys(h.items)) {
 		version, ok := have[topic]
 		held := h.items[topic]
@@ -210,11 +239,20 @@
 		}
 		item, err := held.since(version, ok)
 		if err != nil {
-			return nil, nil, err
+			failed = errors.Join(failed, eris.Wrapf(err, "item %s", topic))
+			continue
+		}
+		if bytes += size(item); bytes > maxReplyBytes && len(items) > 0 {
+			break
 		}
 		items = append(items, item)
 	}
-	return items, h.changed, nil
+	return items, h.changed, failed
+}
+
+// size returns the size of an item's value as it is sent, in bytes.
+func size(item gw.Item) int {
+	return len(item.Data) + len(item.Packed) + len(item.Record) + len(item.Change)
 }
 
 // wanted reports whether a topic begins with one of the prefixes in only, or only is empty.
--- a/internal/version/gwfeed/offer.go
+++ b/internal/version/gwfeed/offer.go
@@ -90,7 +90,7 @@
 	return targets
 }
 
-// pending returns the own items that a relay has not accepted.
+// pending returns the own items that a relay has not accepted, up to maxReplyBytes.
 func (f *Feed) pending(to gw.HostEntry) []gw.Item {
 	inRegion := to.Region == f.self.Region && f.isRelay()
 	f.mu.Lock()
@@ -101,15 +101,21 @@
 		maps.Copy(topics, f.regional)
 	}
 	var items []gw.Item
+	bytes := 0
 	for topic := range topics {
 		accepted, ok := f.accepted[relay].versions[topic]
 		item, newer, err := f.hub.Since(topic, accepted, ok)
 		if err != nil {
 			f.log.Error("item cannot be encoded for a relay", "topic", string(topic), "error", err)
 		}
-		if newer {
-			items = append(items, item)
+		if !newer {
+			continue
+		}
+		if bytes += size(item); bytes > maxReplyBytes && len(items) > 0 {
+			// The rest follows when the relay has accepted these.
+			break
 		}
+		items = append(items, item)
 	}
 	return items
 }
