relay: names and times of any form reach the dispatcher's host

Cause: the entry host writes into the headers of the relay protocol what the dispatcher's host refuses, or what HTTP trims on the way.

Change: times are written within the bounds of their reader, and such names as quoted strings. Other names are written as before, so that hosts of earlier versions read them.

--- a/internal/request/gwforward/headers.go
+++ b/internal/request/gwforward/headers.go
@@ -3,7 +3,9 @@
 import (
 	"net/http"
 	"net/textproto"
+	"strconv"
 	"strings"
+	"unicode"
 
 	gw "github.com/geraniumworks/geraniumworks"
 )
@@ -97,6 +99,30 @@
 	}
 }
 
+// EncodeName returns a name as a header between hosts carries it: quoted as a Go string when the header would lose or
+// refuse some of its bytes.
+func EncodeName(name string) string {
+	plain := !strings.HasPrefix(name, `"`) && strings.TrimSpace(name) == name &&
+		!strings.ContainsFunc(name, func(r rune) bool { return r < ' ' || r == unicode.MaxASCII })
+	if plain {
+		return name
+	}
+	return strconv.Quote(name)
+}
+
+// DecodeName returns a name that EncodeName has encoded.
+func DecodeName(value string) string {
+	if !strings.HasPrefix(value, `"`) {
+		return value
+	}
+	name, err := strconv.Unquote(value)
+	if err != nil {
+		// Hosts of earlier versions do not quote names.
+		return value
+	}
+	return name
+}
+
 // setHeader sets a header to one value. The name must be in canonical form.
 func setHeader(h http.Header, name, value string) {
 	h[name] = []string{value}
--- a/internal/request/gwforward/request.go
+++ b/internal/request/gwforward/request.go
@@ -123,14 +123,16 @@
 	if !r.Relay {
 		servers.Encode(h, r.head(left))
 	} else {
-		NativeServers{}.Encode(h, r.head(left))
-		setHeader(h, gw.HeaderService, string(r.Target.Service))
-		setHeader(h, gw.HeaderServer, string(r.Target.Server))
+		NativeServers{}.Encode(h, r.head(min(left, MaxTimeoutMilliseconds)))
+		setHeader(h, gw.HeaderTenant, EncodeName(string(r.Tenant)))
+		setHeader(h, gw.HeaderService, EncodeName(string(r.Target.Service)))
+		setHeader(h, gw.HeaderServer, EncodeName(string(r.Target.Server)))
 		if r.Repeatable {
 			setHeader(h, gw.HeaderRepeatable, "true")
 		}
 		if !r.Objective.IsZero() {
-			setHeader(h, gw.HeaderObjective, itoa(time.Until(r.Objective).Milliseconds()))
+			objective := time.Until(r.Objective).Milliseconds()
+			setHeader(h, gw.HeaderObjective, itoa(min(max(objective, -MaxTimeoutMilliseconds), MaxTimeoutMilliseconds)))
 		}
 		if r.Priority > 0 {
 			setHeader(h, gw.HeaderPriority, itoa(int64(r.Priority)))
--- a/internal/request/gwrelay/parse.go
+++ b/internal/request/gwrelay/parse.go
@@ -40,9 +40,10 @@
 	}
 	req := &gwforward.Request{
 		ID: values[gw.HeaderRequestID], CallerID: values[gw.HeaderCallerID], OperationID: values[gw.HeaderOperationID],
-		Tenant: gw.TenantName(values[gw.HeaderTenant]),
+		Tenant: gw.TenantName(gwforward.DecodeName(values[gw.HeaderTenant])),
 		Target: gw.Target{
-			Service: gw.ServiceName(values[gw.HeaderService]), Server: gw.ServerName(values[gw.HeaderServer]),
+			Service: gw.ServiceName(gwforward.DecodeName(values[gw.HeaderService])),
+			Server:  gw.ServerName(gwforward.DecodeName(values[gw.HeaderServer])),
 		},
 		Repeatable: values[gw.HeaderRepeatable] == "true",
 		Deadline:   now.Add(time.Duration(left) * time.Millisecond),
