--- a/internal/process/gwcontrol/actions.go
+++ b/internal/process/gwcontrol/actions.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"errors"
+	"fmt"
 	"log/slog"
+	"strings"
 
 	"github.com/rotisserie/eris"
 
@@ -15,9 +18,19 @@
 // assignmentKeyPrefix precedes service and region in the store's keys of assignments.
 const assignmentKeyPrefix = "ownership/"
 
-// AssignmentKey returns the store's key of the assignment of a key space.
+// maxAssignmentKeyBytes bounds the store's keys of assignments. The store may add a prefix to them, and takes keys of 200
+// bytes.
+const maxAssignmentKeyBytes = 180
+
+// AssignmentKey returns the store's key of the assignment of a key space. The end of a key that would be too long is
+// replaced by a checksum of it.
 func AssignmentKey(space gw.KeySpace) string {
-	return assignmentKeyPrefix + space.String()
+	key := assignmentKeyPrefix + space.String()
+	if len(key) <= maxAssignmentKeyBytes {
+		return key
+	}
+	sum := fmt.Sprintf("/%x", sha256.Sum256([]byte(key)))
+	return strings.ToValidUTF8(key[:maxAssignmentKeyBytes-len(sum)], "") + sum
 }
 
 // execute executes an action of a controller. Calls run in goroutines of their own; their results return as events.
--- a/internal/request/gwforward/headers.go
+++ b/internal/request/gwforward/headers.go
@@ -5,7 +5,6 @@
 	"net/textproto"
 	"strconv"
 	"strings"
-	"unicode"
 
 	gw "github.com/geraniumworks/geraniumworks"
 )
@@ -102,9 +101,7 @@
 // EncodeName returns a name as a header between hosts carries it: quoted as a Go string when the header would lose or
 // refuse some of its bytes.
 func EncodeName(name string) string {
-	plain := !strings.HasPrefix(name, `"`) && strings.TrimSpace(name) == name &&
-		!strings.ContainsFunc(name, func(r rune) bool { return r < ' ' || r == unicode.MaxASCII })
-	if plain {
+	if gw.IsHeaderText(name) && !strings.HasPrefix(name, `"`) {
 		return name
 	}
 	return strconv.Quote(name)
--- a/names.go
+++ b/names.go
@@ -1,5 +1,11 @@
 package geraniumworks
 
+import (
+	"strings"
+
+	"golang.org/x/net/http/httpguts"
+)
+
 // RegionName names a region, a group of data centres with one way into the wide-area link.
 type RegionName string
 
@@ -29,3 +35,8 @@
 
 // Incarnation identifies one run of a backend server. The server chooses it at start and never reuses it.
 type Incarnation string
+
+// IsHeaderText reports whether the value of a header can be the text, and is read as the same text.
+func IsHeaderText(text string) bool {
+	return text == strings.TrimSpace(text) && httpguts.ValidHeaderFieldValue(text)
+}
