--- a/internal/standin/gwscene/scene.go
+++ b/internal/standin/gwscene/scene.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -232,6 +233,27 @@
 	return eris.Wrapf(p.cmd.Process.Signal(sig), "signal %s", name)
 }
 
+// PeakBytes returns the most memory that a running process has had, in bytes. It returns an error for one that has ended.
+func (s *Scene) PeakBytes(name string) (int64, error) {
+	s.mu.Lock()
+	p, ok := s.procs[name]
+	s.mu.Unlock()
+	if !ok {
+		return 0, eris.Wrapf(ErrNoProcess, "memory of %s", name)
+	}
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		return 0, eris.Wrapf(err, "memory of %s", name)
+	}
+	var kilobytes int64
+	for line := range strings.Lines(string(status)) {
+		if n, err := fmt.Sscanf(line, "VmHWM: %d kB", &kilobytes); err == nil && n == 1 {
+			return kilobytes << 10, nil
+		}
+	}
+	return 0, eris.Wrapf(ErrNoProcess, "memory of %s", name)
+}
+
 // Wait waits until a process has ended and returns its error, or that of ctx.
 func (s *Scene) Wait(ctx context.Context, name string) error {
 	s.mu.Lock()
