gwlease, gwcontrol: tests do the same with less work

The simulation encoded each record twice: when it is sent, and again, with the comparison, when it is written. All writes come from a send, so that one check there covers them and those that are never applied.

--- a/internal/process/gwcontrol/unreadable_test.go
+++ b/internal/process/gwcontrol/unreadable_test.go
@@ -25,34 +25,17 @@
 	return gw.StoredValue{Key: key, Version: 7, Data: []byte("\x00damaged")}, nil
 }
 
-// lockedBuffer is a buffer that a log writes to while a test reads it.
-type lockedBuffer struct {
-	mu  sync.Mutex
-	buf bytes.Buffer
-}
-
-func (b *lockedBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.buf.Write(p)
-}
-
-func (b *lockedBuffer) String() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.buf.String()
-}
-
 // Guards against a record that cannot be decoded and looks like a store that does not answer, in logs and metrics.
 func TestUnreadableRecordIsNamed(t *testing.T) {
 	self := gw.HostEntry{Name: "h1", Region: "r", DataCentre: "a", State: gw.EntryLive}
-	table, registry, log := gwtable.NewTable(), prometheus.NewRegistry(), &lockedBuffer{}
+	table, registry, log := gwtable.NewTable(), prometheus.NewRegistry(), &bytes.Buffer{}
 	loop := gwcontrol.New(
 		gwcontrol.WithRegisterer(registry), gwcontrol.WithLogger(slog.New(slog.NewTextHandler(log, nil))),
 		gwcontrol.WithSelf(self, "h1#1"), gwcontrol.WithTable(table), gwcontrol.WithStore(damagedStore{}),
 		gwcontrol.WithListing(func() (gw.Listing, uint64) { return gw.Listing{Hosts: []gw.HostEntry{self}}, 1 }),
 		gwcontrol.WithPlacer(func(gw.CellID) gw.Placer { return gwplace.New() }))
-	defer run(t, loop)()
+	stop := sync.OnceFunc(run(t, loop))
+	defer stop()
 	item, err := gwtable.ConfigItem(gw.Config{
 		Version: 1, Regions: []gw.Region{{Name: "r", DataCentres: []gw.DataCentreName{"a"}}},
 		Services: []gw.Service{{Name: "s", DividedByKey: true, Regions: []gw.RegionName{"r"}}},
@@ -61,6 +44,7 @@
 	require.NoError(t, table.Apply(item))
 	require.Eventually(t, func() bool { return unreadable(t, registry, "ownership/s/r") > 1 }, 5*time.Second,
 		10*time.Millisecond)
+	stop()
 	require.Equal(t, 1, strings.Count(log.String(), "cannot be read"), log.String())
 	require.Contains(t, log.String(), "key=ownership/s/r version=7")
 }
--- a/internal/process/gwlease/sim_test.go
+++ b/internal/process/gwlease/sim_test.go
@@ -551,9 +551,7 @@
 }
 
 func (m *sim) commit(p *simProcess, c *Core, o CommitAssignment) {
-	if _, err := gw.EncodeAssignment(o.Next); err != nil {
-		m.fail("a record is to be written that cannot be read: %v", err)
-	}
+	m.checkReadable(o.Next)
 	era := m.era
 	apply := func(answer bool) {
 		in := CommitDone{ID: o.ID, Version: gw.StoreVersion(m.era*simEraRevisions + simRevision(m.version) + 1)}
@@ -634,11 +632,11 @@
 	return highest
 }
 
-// checkReadable checks that the record is read as it is written.
+// checkReadable checks that a record that is to be written is read as it is.
 func (m *sim) checkReadable(next gw.Assignment) {
 	data, err := gw.EncodeAssignment(next)
 	if err != nil {
-		m.fail("the record cannot be written: %v", err)
+		m.fail("a record is to be written that cannot be read: %v", err)
 		return
 	}
 	if read, err := gw.DecodeAssignment(data); err != nil || !reflect.DeepEqual(read, next) {
@@ -649,7 +647,6 @@
 // write replaces the record and passes it on to all hosts.
 func (m *sim) write(next gw.Assignment) {
 	m.version = gw.StoreVersion(m.era*simEraRevisions + simRevision(m.version) + 1)
-	m.checkReadable(next)
 	m.stored, m.asRestored, m.repaired = next, false, false
 	m.log("store: version %d %+v", m.version, next)
 	m.history = append(m.history, simRecord{m.now, m.version, next})
