Types for tenants' keys, quotas, cost classes and reported load

Agreed before the parts are built beside each other: fields of the configuration, of slot requests and of results, and two headers between hosts. Nothing reads them yet, so that no behaviour changes.

--- a/config.go
+++ b/config.go
@@ -28,6 +28,14 @@
 	RequestsPerSecond float64 `json:"requests-per-second,omitempty"`
 	// InFlight limits the tenant's concurrent requests at each entry host; zero means no limit.
 	InFlight int `json:"in-flight,omitempty"`
+	// KeyDigests are the hexadecimal SHA-256 digests of the keys with which callers authenticate as the tenant.
+	KeyDigests []string `json:"key-digests,omitempty"`
+	// Priority orders tenants under overload and goes before the priority of routes; zero is the most urgent.
+	Priority int `json:"priority,omitempty"`
+	// QuotaPerSecond limits the tenant at all entry hosts together, with QuotaBurst requests at once beyond it; zero means
+	// no limit.
+	QuotaPerSecond float64 `json:"quota-per-second,omitempty"`
+	QuotaBurst     float64 `json:"quota-burst,omitempty"`
 }
 
 // Service is a set of backend servers that run the same requests.
@@ -44,6 +52,9 @@
 	// the limits' ColdPercent alone bounds a cold server.
 	ColdRequestsPerSecond float64 `json:"cold-requests-per-second,omitempty"`
 	WarmupMilliseconds    int64   `json:"warmup-milliseconds,omitempty"`
+	// CostAware is set when requests are queued and placed by what they are expected to cost and by the work that each
+	// server still has to do.
+	CostAware bool `json:"cost-aware,omitempty"`
 }
 
 // KeySpaceIn returns the key space that servers of the service in a region take part in.
@@ -110,6 +121,8 @@
 	RouteUnsafe RouteKind = "unsafe"
 	// RouteUpload marks requests with large bodies that run at most once.
 	RouteUpload RouteKind = "upload"
+	// RouteDownload marks requests with large answers that may run more than once.
+	RouteDownload RouteKind = "download"
 )
 
 // WeightedService is a service that gets a share of a route's requests.
@@ -144,12 +157,14 @@
 	Attempts int `json:"attempts,omitempty"`
 	// Priority orders routes under overload; zero is the most urgent.
 	Priority int `json:"priority,omitempty"`
+	// Public is set when callers need no key although the configuration requires keys.
+	Public bool `json:"public,omitempty"`
 }
 
 // Repeatable reports whether a request with the method may run more than once.
 func (r Route) Repeatable(method string) bool {
 	switch r.Kind {
-	case RouteSafe:
+	case RouteSafe, RouteDownload:
 		return true
 	case RouteUnsafe, RouteUpload:
 		return false
@@ -206,6 +221,8 @@
 	Services     []Service      `json:"services"`
 	Routes       []Route        `json:"routes"`
 	OutOfService []OutOfService `json:"out-of-service,omitempty"`
+	// KeysRequired is set when callers authenticate with the keys of tenants, except on public routes.
+	KeysRequired bool `json:"keys-required,omitempty"`
 }
 
 // Service returns the service with the name.
--- a/outcome.go
+++ b/outcome.go
@@ -48,6 +48,10 @@
 	HeaderObjective = "Gw-Objective-Milliseconds"
 	HeaderPriority  = "Gw-Priority"
 	HeaderNoWait    = "Gw-No-Wait"
+	// HeaderCostClass carries the CostClass of the request from an entry host to a dispatcher.
+	HeaderCostClass = "Gw-Cost-Class"
+	// HeaderWait carries the milliseconds that a further request would wait for a slot, from a dispatcher to an entry host.
+	HeaderWait = "Gw-Wait-Milliseconds"
 	// HeaderConsent is "true" from an entry host to a dispatcher when the entry host, and not the caller, waits for
 	// consent before it sends the body.
 	HeaderConsent = "Gw-Consent"
@@ -64,6 +68,7 @@
 const (
 	ReasonBadRequest       Reason = "bad-request"
 	ReasonUnknownTenant    Reason = "unknown-tenant"
+	ReasonUnauthenticated  Reason = "unauthenticated"
 	ReasonNoRoute          Reason = "no-route"
 	ReasonBodyTooLarge     Reason = "body-too-large"
 	ReasonWrongRegion      Reason = "wrong-region"
@@ -84,6 +89,7 @@
 var reasonStatus = map[Reason]int{
 	ReasonBadRequest:       http.StatusBadRequest,
 	ReasonUnknownTenant:    http.StatusForbidden,
+	ReasonUnauthenticated:  http.StatusUnauthorized,
 	ReasonNoRoute:          http.StatusNotFound,
 	ReasonBodyTooLarge:     http.StatusRequestEntityTooLarge,
 	ReasonWrongRegion:      http.StatusMisdirectedRequest,
--- a/protocol.go
+++ b/protocol.go
@@ -7,6 +7,8 @@
 	// ID is the caller's own id of the request, empty when it has none.
 	ID     string
 	Tenant TenantName
+	// Credential is the key with which the caller authenticates, empty when it sends none.
+	Credential string
 	// TimeoutMilliseconds is how long the caller waits; HasTimeout is false when it does not say.
 	TimeoutMilliseconds int64
 	HasTimeout          bool
@@ -52,6 +54,8 @@
 	PauseMilliseconds int64
 	// LimitPerSecond is how many requests a second the server takes from all hosts together, zero when it names no limit.
 	LimitPerSecond float64
+	// Load is the load that the server reports, nil when it reports none.
+	Load *ServerUtilization
 }
 
 // ServerProtocol translates between the request path and backend servers.
--- a/request.go
+++ b/request.go
@@ -46,6 +46,18 @@
 	Route(ctx context.Context, req RouteRequest) (Target, *Refusal)
 }
 
+// CostClass groups requests that are expected to cost a server about the same: those of one route, method and size
+// class of the body. It is empty when it is not known.
+type CostClass string
+
+// ServerUtilization is the load that a server reports with an answer.
+type ServerUtilization struct {
+	// Running, Waiting and Slots count requests and slots of the server.
+	Running, Waiting, Slots int
+	// WorkPercent is how long work takes on the server's machine at this moment, 100 when it takes as long as usual.
+	WorkPercent float64
+}
+
 // SlotRequest asks a dispatcher for a slot of a server.
 type SlotRequest struct {
 	Service  ServiceName
@@ -62,6 +74,8 @@
 	Priority int
 	// NoWait asks for a refusal with the expected wait when no slot is free now.
 	NoWait bool
+	// Class is the cost class of the request.
+	Class CostClass
 }
 
 // AttemptResult tells a dispatcher how the request that held a slot ended.
@@ -79,6 +93,8 @@
 	PausedUntil time.Time
 	// LimitPerSecond is how many requests a second the server takes from all hosts together, zero when it names no limit.
 	LimitPerSecond float64
+	// Load is the load that the server has reported, nil when it has reported none.
+	Load *ServerUtilization
 	// FirstByte and End are when the answer began and ended, zero when it did not. An unknown outcome without End
 	// occupies the slot until the request's deadline, since the server may still be running it.
 	FirstByte time.Time
