gwlease, platform: loads of cost-aware services follow a sudden change of rate

Cause: the load of a server is its arrivals over two seconds. 0.6 s after a block became busy it shows less than a third of the load, so that the blocks that are moved off are several times too large for the servers that get them, and they cannot move again before they have settled, two seconds later.

Change: for a cost-aware service the arrivals of the last two statuses count alone when they are more than four standard deviations off those expected.

Replay in gwlease: 0.6 s after a rise from 10 to 100 requests a second the load is above 80 instead of below 60.

--- a/cmd/geraniumworks/platform.go
+++ b/cmd/geraniumworks/platform.go
@@ -52,6 +52,7 @@
 			gwplatform.WithStore(settings.Platform.StoreEndpoint),
 			gwplatform.WithSelf(self),
 			gwplatform.WithRegions(settings.Platform.Regions()),
+			gwplatform.WithContracts(settings.Platform.Contracts),
 			gwplatform.WithLogger(log),
 			gwplatform.WithRegisterer(r),
 		)
--- a/internal/process/gwlease/loads.go
+++ b/internal/process/gwlease/loads.go
@@ -27,8 +27,15 @@
 	weight float64
 }
 
+// arrivalCount is the number of requests that a dispatcher's status reported.
+type arrivalCount struct {
+	at time.Time
+	n  float64
+}
+
 // noteArrivals records the positions of requests from a dispatcher's status.
 func (s *server) noteArrivals(now time.Time, d gw.DispatchedServer) {
+	s.counts = append(s.counts, arrivalCount{at: now, n: float64(d.Arrivals)})
 	if d.MeanMilliseconds > 0 {
 		s.meanMilliseconds = d.MeanMilliseconds
 	}
@@ -50,15 +57,72 @@
 		n++
 	}
 	s.arrivals = slices.Delete(s.arrivals, 0, n)
+	s.counts = slices.DeleteFunc(s.counts, func(c arrivalCount) bool { return now.Sub(c.at) >= arrivalWindow })
 }
 
 // load returns the requests per second over the last seconds.
-func (s *server) load(now time.Time) float64 {
+func (c *Core) load(s *server) float64 {
+	since, seconds := c.loadWindow(s)
 	total := 0.0
 	for _, a := range s.arrivals {
-		total += a.weight
+		if a.at.After(since) {
+			total += a.weight
+		}
+	}
+	return total / seconds
+}
+
+// loadWindow returns the time after which reported arrivals of the server count, and the seconds that they cover.
+func (c *Core) loadWindow(s *server) (since time.Time, seconds float64) {
+	if c.service.CostAware {
+		if since, seconds, ok := s.changedRate(c.now); ok {
+			return since, seconds
+		}
+	}
+	return time.Time{}, s.arrivalSeconds(c.now)
+}
+
+const (
+	// recentCounts is the number of statuses, 300 ms each, in which a changed rate shows.
+	recentCounts = 2
+	// minEarlierSeconds is the shortest time before them that can tell the earlier rate.
+	minEarlierSeconds = 0.4
+	// rateChangeSigmas and rateChangeCount are how far the recent arrivals must be from those expected at the earlier rate,
+	// in standard deviations and in requests. A server gets about 7 requests in two statuses.
+	rateChangeSigmas = 4
+	rateChangeCount  = 4
+	// staleCountAfter is the age at which the last status no longer tells the present rate.
+	staleCountAfter = time.Second
+)
+
+// changedRate returns the time since which the server gets requests at another rate than before, and the seconds
+// that the arrivals after it cover. ok is false when the rate has not clearly changed.
+//
+// Load pattern: a block of neighbouring keys gets several times what its server bears from one moment to the next, for
+// five seconds. Over the whole window the load shows in full only after two seconds. Until then the blocks that are moved
+// off are several times too large for the servers that get them, and cannot move again until they have settled.
+func (s *server) changedRate(now time.Time) (since time.Time, seconds float64, ok bool) {
+	first := len(s.counts) - recentCounts
+	if first < 1 || now.Sub(s.counts[len(s.counts)-1].at) >= staleCountAfter {
+		return time.Time{}, 0, false
+	}
+	since = s.counts[first-1].at
+	seconds = s.counts[len(s.counts)-1].at.Sub(since).Seconds()
+	earlier := since.Sub(later(s.arrivalsSince, now.Add(-arrivalWindow))).Seconds()
+	if seconds <= 0 || earlier < minEarlierSeconds {
+		return time.Time{}, 0, false
+	}
+	recent, before := 0.0, 0.0
+	for i, c := range s.counts {
+		if i < first {
+			before += c.n
+		} else {
+			recent += c.n
+		}
 	}
-	return total / s.arrivalSeconds(now)
+	expected := before * seconds / earlier
+	changed := math.Abs(recent-expected) > rateChangeSigmas*math.Sqrt(expected)+rateChangeCount
+	return since, seconds, changed
 }
 
 // arrivalSeconds returns the time that the recorded arrivals cover. It is at least half of the window, so that the
@@ -119,8 +183,11 @@
 func (c *Core) arrivalSamples() gw.Arrivals {
 	var view gw.Arrivals
 	for _, s := range c.byName {
-		seconds := s.arrivalSeconds(c.now)
+		since, seconds := c.loadWindow(s)
 		for _, a := range s.arrivals {
+			if !a.at.After(since) {
+				continue
+			}
 			view.Samples = append(view.Samples, gw.Arrival{Position: a.position, Weight: a.weight / seconds})
 		}
 	}
@@ -144,7 +211,7 @@
 	servers := make([]gw.ServerLoad, len(c.byName))
 	for i, s := range c.byName {
 		servers[i] = gw.ServerLoad{
-			Name: s.entry.Name, Load: math.Round(s.load(c.now)), Capacity: math.Round(c.capacity(s)),
+			Name: s.entry.Name, Load: math.Round(c.load(s)), Capacity: math.Round(c.capacity(s)),
 		}
 	}
 	if slices.Equal(servers, c.loads.servers) {
--- a/internal/process/gwlease/loads_test.go
+++ b/internal/process/gwlease/loads_test.go
@@ -83,3 +83,45 @@
 	require.Equal(t, gw.ServerUp, c.state(s))
 	require.InDelta(t, whole, c.capacity(s), 0.01)
 }
+
+// Load pattern: a busy block of keys gets ten times the requests from one moment to the next, and loses them again.
+// Guards against loads that show the change only after the whole window of two seconds, when a block that is busy for
+// five seconds has been moved to servers that cannot bear it.
+func TestLoadFollowsASuddenChange(t *testing.T) {
+	const perStatus = 300 * time.Millisecond
+	for name, tc := range map[string]struct {
+		costAware            bool
+		afterRise, afterFall func(float64) bool
+	}{
+		"cost-aware": {true, func(l float64) bool { return l > 80 }, func(l float64) bool { return l < 30 }},
+		"plain":      {false, func(l float64) bool { return l < 60 }, func(l float64) bool { return l > 60 }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := New(WithHost("h1", "h1#1"), WithCell(gw.CellID{Service: "lookups", DataCentre: "a"}, "holland"))
+			c.now = time.Unix(1000, 0)
+			c.service = gw.Service{Name: "lookups", DividedByKey: true, OrderedKeys: true, CostAware: tc.costAware}
+			s := c.addServer("s1")
+			c.sortServers()
+			report := func(perSecond float64, statuses int) {
+				for range statuses {
+					c.now = c.now.Add(perStatus)
+					n := int64(perSecond * perStatus.Seconds())
+					s.noteArrivals(c.now, gw.DispatchedServer{Arrivals: n, Positions: []gw.Position{1}})
+				}
+			}
+			report(10, 10)
+			require.InDelta(t, 10, c.load(s), 2)
+			report(100, 2)
+			require.True(t, tc.afterRise(c.load(s)), "load %.0f", c.load(s))
+			sampled := 0.0
+			for _, a := range c.arrivalSamples().Samples {
+				sampled += a.Weight
+			}
+			require.InDelta(t, c.load(s), sampled, 0.01, "the placement sees the same load")
+			report(100, 8)
+			require.InDelta(t, 100, c.load(s), 8)
+			report(10, 2)
+			require.True(t, tc.afterFall(c.load(s)), "load %.0f", c.load(s))
+		})
+	}
+}
--- a/internal/process/gwlease/server.go
+++ b/internal/process/gwlease/server.go
@@ -59,10 +59,12 @@
 	restartRevision gw.Revision
 	// grantUncertainUntil is the time until which an unanswered grant may still be applied.
 	grantUncertainUntil time.Time
-	// arrivals are the requests of the last seconds that dispatchers have reported since arrivalsSince.
+	// arrivals are the requests of the last seconds that dispatchers have reported since arrivalsSince, counts their
+	// number in each status.
 	// meanMilliseconds is the last known mean service time of a request.
 	arrivals         []arrival
 	arrivalsSince    time.Time
+	counts           []arrivalCount
 	meanMilliseconds float64
 	// coldUntil is when the server can take its full load.
 	coldUntil time.Time
--- a/internal/process/gwlease/view.go
+++ b/internal/process/gwlease/view.go
@@ -88,7 +88,7 @@
 // viewLoad returns the load that the placement policy sees.
 func (c *Core) viewLoad(s *server) float64 {
 	if c.service.OrderedKeys {
-		return s.load(c.now)
+		return c.load(s)
 	}
 	return s.dispatch.report.RequestsPerSecond
 }
--- a/internal/process/gwsettings/settings.go
+++ b/internal/process/gwsettings/settings.go
@@ -57,6 +57,8 @@
 	// RetrySlack is the number of retries that all hosts together may send to a service in one burst, beside a share of
 	// its requests. Zero means the default.
 	RetrySlack int `json:"retry-slack"`
+	// Contracts are the parts of the platform's rules that are in force.
+	Contracts []string `json:"contracts,omitempty"`
 }
 
 // DataCentre is a data centre of the platform.
