--- a/cmd/geraniumworks/platform.go
+++ b/cmd/geraniumworks/platform.go
@@ -65,7 +65,7 @@
 		return gwhost.Backend{
 			Store: p.Store(), HostList: p.HostList(), Servers: p.Servers(), Configs: p,
 			CallerProtocol: p.CallerProtocol(), ServerProtocol: p.ServerProtocol(),
-			Timing: timing, RetrySlack: cmp.Or(settings.Platform.RetrySlack, platformRetrySlack),
+			Timing: timing, RetrySlack: cmp.Or(int(settings.Platform.RetrySlack), platformRetrySlack),
 			Run: p.Run, Leave: p.Leave, SetReadMode: p.SetReadMode, SourceCurrent: p.SourceCurrent,
 			SourceAge: p.SourceAge,
 		}
--- a/internal/process/gwlease/loads.go
+++ b/internal/process/gwlease/loads.go
@@ -87,8 +87,8 @@
 	recentCounts = 2
 	// minEarlierSeconds is the shortest time before them that can tell the earlier rate.
 	minEarlierSeconds = 0.4
-	// rateChangeSigmas and rateChangeCount are how far the recent arrivals must be from those expected at the earlier rate,
-	// in standard deviations and in requests. A server gets about 7 requests in two statuses.
+	// rateChangeSigmas and rateChangeCount are how far the recent arrivals must be from those expected at the earlier
+	// rate, in standard deviations and in requests. A server gets about 7 requests in two statuses.
 	rateChangeSigmas = 4
 	rateChangeCount  = 4
 	// staleCountAfter is the age at which the last status no longer tells the present rate.
@@ -99,8 +99,8 @@
 // that the arrivals after it cover. ok is false when the rate has not clearly changed.
 //
 // Load pattern: a block of neighbouring keys gets several times what its server bears from one moment to the next, for
-// five seconds. Over the whole window the load shows in full only after two seconds. Until then the blocks that are moved
-// off are several times too large for the servers that get them, and cannot move again until they have settled.
+// five seconds. Over the whole window the load shows in full only after two seconds. Until then the blocks that are
+// moved off are several times too large for the servers that get them, and cannot move again until they have settled.
 func (s *server) changedRate(now time.Time) (since time.Time, seconds float64, ok bool) {
 	first := len(s.counts) - recentCounts
 	if first < 1 || now.Sub(s.counts[len(s.counts)-1].at) >= staleCountAfter {
--- a/internal/process/gwsettings/settings.go
+++ b/internal/process/gwsettings/settings.go
@@ -55,8 +55,8 @@
 	// DataCentres are all data centres, including that of this host.
 	DataCentres []DataCentre `json:"data-centres"`
 	// RetrySlack is the number of retries that all hosts together may send to a service in one burst, beside a share of
-	// its requests. Zero means the default.
-	RetrySlack int `json:"retry-slack"`
+	// its requests. A fraction is rounded down. Zero means the default.
+	RetrySlack float64 `json:"retry-slack"`
 	// Contracts are the parts of the platform's rules that are in force.
 	Contracts []string `json:"contracts,omitempty"`
 }
--- a/internal/process/gwsettings/settings_test.go
+++ b/internal/process/gwsettings/settings_test.go
@@ -70,3 +70,16 @@
 		require.Equal(t, want, s.StopDeadline(begin).Sub(begin), text)
 	}
 }
+
+// Guards against a process that does not start because the platform states the slack for retries as a fraction.
+func TestRetrySlackMayBeAFraction(t *testing.T) {
+	data, err := os.ReadFile("../../../samples/settings/holland-a-entry-1.json")
+	require.NoError(t, err)
+	end := strings.LastIndex(string(data), "}")
+	name := filepath.Join(t.TempDir(), "settings.json")
+	with := strings.TrimRight(string(data[:end]), ", \n") + `, "platform": {"retry-slack": 37.2093023255814}}`
+	require.NoError(t, os.WriteFile(name, []byte(with), 0o600))
+	settings, err := gwsettings.Load(name, gwsettings.Overrides{})
+	require.NoError(t, err)
+	require.InDelta(t, 37.2, settings.Platform.RetrySlack, 0.1)
+}
