--- a/internal/request/gwforward/answer.go
+++ b/internal/request/gwforward/answer.go
@@ -36,6 +36,8 @@
 	PausedUntil time.Time
 	// LimitPerSecond is how many requests a second the server takes from all hosts together, zero when it names no limit.
 	LimitPerSecond float64
+	// Load is the load that the server has reported, nil when it has reported none.
+	Load *gw.ServerUtilization
 	// RequestID is the id of the attempt that was answered.
 	RequestID string
 	// FirstByte is the time at which the head arrived.
--- a/internal/request/gwforward/forward.go
+++ b/internal/request/gwforward/forward.go
@@ -55,6 +55,8 @@
 	PausedUntil time.Time
 	// LimitPerSecond is how many requests a second the server takes from all hosts together, zero when it names no limit.
 	LimitPerSecond float64
+	// Load is the load that the server has reported, nil when it has reported none.
+	Load *gw.ServerUtilization
 }
 
 // Send sends the request at most once. It returns an answer of which at least the head has arrived, or a failure whose
@@ -118,6 +120,7 @@
 		return nil, &Failure{
 			Refusal: refusal, Status: answer.Status, Incarnation: answer.Incarnation,
 			Leaving: answer.Leaving, PausedUntil: answer.PausedUntil, LimitPerSecond: answer.LimitPerSecond,
+			Load: answer.Load,
 		}, false
 	}
 	return answer, nil, false
@@ -184,6 +187,7 @@
 		a.conn.NoteRefused(a.r.CallerID)
 	}
 	a.Incarnation, a.Leaving, a.LimitPerSecond = head.Incarnation, head.Leaving, head.LimitPerSecond
+	a.Load = head.Load
 	if head.PauseMilliseconds > 0 {
 		a.PausedUntil = a.FirstByte.Add(time.Duration(head.PauseMilliseconds) * time.Millisecond)
 	}
--- a/internal/request/gwrelay/relay.go
+++ b/internal/request/gwrelay/relay.go
@@ -139,6 +139,7 @@
 		Outcome: failed.Reason.Outcome(), Status: failed.Status, Incarnation: failed.Incarnation,
 		Overloaded: failed.Reason == gw.ReasonOverloaded || failed.Reason == gw.ReasonShed,
 		Leaving:    failed.Leaving, PausedUntil: failed.PausedUntil, LimitPerSecond: failed.LimitPerSecond,
+		Load: failed.Load,
 	}
 	if result.Outcome == gw.OutcomeNotRun {
 		result.End = time.Now()
@@ -151,6 +152,7 @@
 	result := gw.AttemptResult{
 		Outcome: gw.OutcomeAnswered, Status: a.Status, Incarnation: a.Incarnation, FirstByte: a.FirstByte,
 		Leaving: a.Leaving, PausedUntil: a.PausedUntil, LimitPerSecond: a.LimitPerSecond,
+		Load: a.Load,
 	}
 	if complete {
 		result.End = time.Now()
