gwdispatch, gwrelay, gwforward: report the expected wait to entry hosts

Cause: an entry host learns nothing about the queue of a server except from a refused probe, and the latency that it sees mixes the wait with the time at the server.

Change: Dispatcher.ExpectedWait returns the wait of a further request. For cost-aware services the relay reports it in Gw-Wait-Milliseconds with answers and refusals, and the time that the request took at the server in Gw-Served-Milliseconds (new), so that entry hosts can tell slowness from waiting. Within one process the values are read directly (Answer.Served, ExpectedWait).

--- a/internal/process/gwhost/host.go
+++ b/internal/process/gwhost/host.go
@@ -157,6 +157,7 @@
 		gwrelay.WithBarred(h.blocked),
 		gwrelay.WithLeaving(h.members.ReportLeaving),
 		gwrelay.WithReach(h.reach),
+		gwrelay.WithWait(h.dispatcher.ExpectedWait),
 		gwrelay.WithLogger(h.log),
 		gwrelay.WithRegisterer(h.registry),
 	)
--- a/internal/request/gwforward/answer.go
+++ b/internal/request/gwforward/answer.go
@@ -38,6 +38,11 @@
 	LimitPerSecond float64
 	// Load is the load that the server has reported, nil when it has reported none.
 	Load *gw.ServerUtilization
+	// Report is what the dispatcher of the server says about it, nil when it says nothing.
+	Report *DispatcherReport
+	// Served is the time from the sending of the request to the server to the head of the answer. It is zero at a host that
+	// has sent the request to a relay, see Report.
+	Served time.Duration
 	// RequestID is the id of the attempt that was answered.
 	RequestID string
 	// FirstByte is the time at which the head arrived.
--- a/internal/request/gwforward/forward.go
+++ b/internal/request/gwforward/forward.go
@@ -57,6 +57,8 @@
 	LimitPerSecond float64
 	// Load is the load that the server has reported, nil when it has reported none.
 	Load *gw.ServerUtilization
+	// Report is what the dispatcher of the server says about it, nil when it says nothing.
+	Report *DispatcherReport
 }
 
 // Send sends the request at most once. It returns an answer of which at least the head has arrived, or a failure whose
@@ -120,7 +122,7 @@
 		return nil, &Failure{
 			Refusal: refusal, Status: answer.Status, Incarnation: answer.Incarnation,
 			Leaving: answer.Leaving, PausedUntil: answer.PausedUntil, LimitPerSecond: answer.LimitPerSecond,
-			Load: answer.Load,
+			Load: answer.Load, Report: answer.Report,
 		}, false
 	}
 	return answer, nil, false
@@ -188,6 +190,9 @@
 	}
 	a.Incarnation, a.Leaving, a.LimitPerSecond = head.Incarnation, head.Leaving, head.LimitPerSecond
 	a.Load = head.Load
+	if a.r.Relay {
+		a.Report = decodeReport(a.resp.Header, a.FirstByte)
+	}
 	if head.PauseMilliseconds > 0 {
 		a.PausedUntil = a.FirstByte.Add(time.Duration(head.PauseMilliseconds) * time.Millisecond)
 	}
--- a/internal/request/gwrelay/options.go
+++ b/internal/request/gwrelay/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -25,6 +26,7 @@
 	Barred     func(gw.ServerName) bool
 	Leaving    func(gw.ServerName, gw.Incarnation)
 	Reach      gw.Reach
+	Wait       func(gw.ServiceName, gw.ServerName) (time.Duration, bool)
 	Logger     *slog.Logger
 	Registerer prometheus.Registerer
 }
@@ -64,6 +66,12 @@
 	return func(o *Options) { o.Leaving = leaving }
 }
 
+// WithWait sets a function that returns how long a further request would wait for a slot of a server. The relay reports
+// it to entry hosts for services that are cost-aware. By default it reports nothing.
+func WithWait(wait func(gw.ServiceName, gw.ServerName) (time.Duration, bool)) Option {
+	return func(o *Options) { o.Wait = wait }
+}
+
 // WithLogger sets the logger for the end of attempts. By default nothing is logged.
 func WithLogger(log *slog.Logger) Option {
 	return func(o *Options) { o.Logger = log }
--- a/internal/request/gwrelay/relay.go
+++ b/internal/request/gwrelay/relay.go
@@ -96,6 +96,7 @@
 		r.logEnd(req, sent, server, failed.Refusal)
 		return nil, failed.Refusal
 	}
+	answer.Served = answer.FirstByte.Sub(sent)
 	r.opts.Reach.Answered(server.Address)
 	if answer.Leaving {
 		if answer.Incarnation == "" {
@@ -245,6 +246,7 @@
 	}
 	if refusal != nil {
 		r.countRefusal(refusal.Reason)
+		r.report(w.Header(), req, 0)
 		refuse(w, rc, in.ContentLength != 0, refusal)
 		return
 	}
@@ -259,9 +261,11 @@
 		refusal = answer.CloseExpired(time.Now())
 	}
 	if refusal != nil {
+		r.report(w.Header(), req, 0)
 		refuse(w, rc, !req.Body.Complete(), refusal)
 		return
 	}
+	r.report(w.Header(), req, answer.Served)
 	if err := answer.Write(w, gwforward.NativeCallers{}); err != nil {
 		r.logCut(in, req, answer, err)
 		panic(http.ErrAbortHandler)
--- a/outcome.go
+++ b/outcome.go
@@ -52,6 +52,9 @@
 	HeaderCostClass = "Gw-Cost-Class"
 	// HeaderWait carries the milliseconds that a further request would wait for a slot, from a dispatcher to an entry host.
 	HeaderWait = "Gw-Wait-Milliseconds"
+	// HeaderServed carries the milliseconds from the sending of the request to the server to the head of its answer, from
+	// a dispatcher to an entry host.
+	HeaderServed = "Gw-Served-Milliseconds"
 	// HeaderConsent is "true" from an entry host to a dispatcher when the entry host, and not the caller, waits for
 	// consent before it sends the body.
 	HeaderConsent = "Gw-Consent"
