--- a/internal/request/gwrelay/relay.go
+++ b/internal/request/gwrelay/relay.go
@@ -96,6 +96,7 @@
 		r.logEnd(req, sent, server, failed.Refusal)
 		return nil, failed.Refusal
 	}
+	answer.Served = answer.FirstByte.Sub(sent)
 	r.opts.Reach.Answered(server.Address)
 	if answer.Leaving {
 		if answer.Incarnation == "" {
@@ -139,6 +140,7 @@
 		Outcome: failed.Reason.Outcome(), Status: failed.Status, Incarnation: failed.Incarnation,
 		Overloaded: failed.Reason == gw.ReasonOverloaded || failed.Reason == gw.ReasonShed,
 		Leaving:    failed.Leaving, PausedUntil: failed.PausedUntil, LimitPerSecond: failed.LimitPerSecond,
+		Load: failed.Load,
 	}
 	if result.Outcome == gw.OutcomeNotRun {
 		result.End = time.Now()
@@ -151,6 +153,7 @@
 	result := gw.AttemptResult{
 		Outcome: gw.OutcomeAnswered, Status: a.Status, Incarnation: a.Incarnation, FirstByte: a.FirstByte,
 		Leaving: a.Leaving, PausedUntil: a.PausedUntil, LimitPerSecond: a.LimitPerSecond,
+		Load: a.Load,
 	}
 	if complete {
 		result.End = time.Now()
@@ -243,6 +246,7 @@
 	}
 	if refusal != nil {
 		r.countRefusal(refusal.Reason)
+		r.report(w.Header(), req, 0)
 		refuse(w, rc, in.ContentLength != 0, refusal)
 		return
 	}
@@ -257,9 +261,11 @@
 		refusal = answer.CloseExpired(time.Now())
 	}
 	if refusal != nil {
+		r.report(w.Header(), req, 0)
 		refuse(w, rc, !req.Body.Complete(), refusal)
 		return
 	}
+	r.report(w.Header(), req, answer.Served)
 	if err := answer.Write(w, gwforward.NativeCallers{}); err != nil {
 		r.logCut(in, req, answer, err)
 		panic(http.ErrAbortHandler)
