gwcost, gwdispatch: order by the expected cost of each request

Cause: the queue judged by one median of the server's service times whether a request can meet its objective. Under overload each request then waited until about half of the answers were late, and costs that differ by route were mixed.

Change: gwcost learns a base cost for each class over the servers of a service, the slowness of each server, and the distribution of observed / expected cost. For services with CostAware, gwdispatch projects when each waiting request starts, from the running requests and those that go before it, and judges it by the 85% quantile of its own cost. Requests that can be on time go first, then the priority, then the turn of the tenant, then the arrival. Late ones are refused when those leave them too little capacity. Without CostAware the code decides as before.

--- /dev/null
+++ b/internal/request/gwcost/model_test.go
@@ -0,0 +1,101 @@
+package gwcost_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	gw "github.com/geraniumworks/geraniumworks"
+	"github.com/geraniumworks/geraniumworks/internal/request/gwcost"
+)
+
+// Load pattern: two classes of different cost on servers whose speeds differ by a factor of 3, with 3% of requests of 6
+// times the work. Guards against costs that are attributed to the wrong cause, against an estimate that follows single
+// costly requests, and against a quantile that does not hold.
+func TestClassesAndServers(t *testing.T) {
+	model, now, rng := gwcost.NewModel(), time.Unix(1000, 0), rand.New(rand.NewPCG(1, 2))
+	slowness := []float64{2, 1, 1, 2.0 / 3}
+	work := map[gw.CostClass]float64{"cheap": 50, "costly": 250}
+	var servers []*gwcost.Server
+	for range slowness {
+		servers = append(servers, gwcost.NewServer(model))
+	}
+	below, total := 0.0, 0.0
+	for i := range 4000 {
+		now = now.Add(5 * time.Millisecond)
+		class := gw.CostClass("cheap")
+		if rng.IntN(3) == 0 {
+			class = "costly"
+		}
+		at := rng.IntN(len(servers))
+		est := servers[at].Expect(now, class)
+		took := work[class] * slowness[at] * math.Exp(0.4*rng.NormFloat64())
+		if rng.IntN(33) == 0 {
+			took *= 6
+		}
+		servers[at].Observe(now, class, est, time.Duration(took*float64(time.Millisecond)), true)
+		if i > 500 {
+			total++
+			if took <= float64(est.High.Microseconds())/1000 {
+				below++
+			}
+		}
+	}
+	require.InDelta(t, 0.85, below/total, 0.06)
+	for class, w := range work {
+		for i, slow := range slowness {
+			median := servers[i].Expect(now, class).Median
+			require.InEpsilon(t, w*slow, float64(median.Milliseconds()), 0.35, "%s at %d", class, i)
+		}
+	}
+	require.InEpsilon(t, servers[1].Expect(now, "cheap").Mean, gwcost.NewServer(model).Expect(now, "cheap").Mean, 0.4)
+}
+
+// Load pattern: a machine is 3 times slower for 400 ms at a time and says so. Guards against a report that is taken for
+// a property of the server, or that outlives the slow spell. A malformed report has no effect.
+func TestReportedSlowness(t *testing.T) {
+	server, now := gwcost.NewServer(gwcost.NewModel()), time.Unix(1000, 0)
+	for i := range 200 {
+		now = now.Add(50 * time.Millisecond)
+		percent := 100.0
+		if i%40 < 8 {
+			percent = 300
+		}
+		est := server.Expect(now, "a")
+		server.Report(now, &gw.ServerUtilization{WorkPercent: percent})
+		server.Observe(now, "a", est, time.Duration(percent)*time.Millisecond, true)
+	}
+	require.InDelta(t, 1, server.Slowness(now), 0.2)
+	server.Report(now, &gw.ServerUtilization{WorkPercent: 300})
+	require.InDelta(t, 3, server.Slowness(now), 0.5)
+	require.InDelta(t, 1, server.Slowness(now.Add(2*time.Second)), 0.2)
+	server.Report(now.Add(2*time.Second), &gw.ServerUtilization{WorkPercent: -5})
+	require.InDelta(t, 1, server.Slowness(now.Add(2*time.Second)), 0.2)
+}
+
+// Load pattern: callers use very many classes, and a class becomes 4 times as costly. Guards against unbounded memory,
+// and against estimates that follow a change too slowly.
+func TestManyClassesAndChange(t *testing.T) {
+	model, now := gwcost.NewModel(), time.Unix(1000, 0)
+	server := gwcost.NewServer(model)
+	observe := func(class gw.CostClass, took time.Duration) {
+		now = now.Add(10 * time.Millisecond)
+		server.Observe(now, class, server.Expect(now, class), took, true)
+	}
+	for i := range 600 {
+		observe(gw.CostClass(fmt.Sprint(i)), 20*time.Millisecond)
+		observe("usual", 20*time.Millisecond)
+	}
+	_, known := model.Base("0")
+	require.False(t, known)
+	_, known = model.Base("usual")
+	require.True(t, known)
+	for range 400 {
+		observe("usual", 80*time.Millisecond)
+	}
+	require.InEpsilon(t, 80*time.Millisecond, server.Expect(now, "usual").Mean, 0.3)
+}
--- a/internal/request/gwdispatch/dispatcher.go
+++ b/internal/request/gwdispatch/dispatcher.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	gw "github.com/geraniumworks/geraniumworks"
+	"github.com/geraniumworks/geraniumworks/internal/request/gwcost"
 )
 
 // Dispatcher implements gw.Dispatcher. Requests lock only the mutex of their server; leases and releases also lock a
@@ -23,7 +24,9 @@
 	registerer prometheus.Registerer
 	metrics    *metrics
 	limits     atomic.Pointer[map[gw.ServiceName]gw.ServiceLimits]
-	stopping   atomic.Bool
+	// costs has the models of the services that are cost-aware.
+	costs    atomic.Pointer[map[gw.ServiceName]*gwcost.Model]
+	stopping atomic.Bool
 	// cutOff is set while this host reaches no server.
 	cutOff atomic.Bool
 
@@ -71,6 +74,7 @@
 		detectors: make(map[gw.ServiceName]*detector),
 	}
 	d.limits.Store(&map[gw.ServiceName]gw.ServiceLimits{})
+	d.costs.Store(&map[gw.ServiceName]*gwcost.Model{})
 	d.outliers.Store(&map[gw.ServiceName][]gw.ServerName{})
 	d.servers.Store(&map[serverKey]*server{})
 	for _, opt := range opts {
@@ -87,13 +91,22 @@
 // SetConfig applies the limits of a configuration.
 func (d *Dispatcher) SetConfig(cfg gw.Config) {
 	limits := make(map[gw.ServiceName]gw.ServiceLimits, len(cfg.Services))
+	costs := make(map[gw.ServiceName]*gwcost.Model)
 	for _, s := range cfg.Services {
 		limits[s.Name] = s.Limits
+		if !s.CostAware {
+			continue
+		}
+		if costs[s.Name] = (*d.costs.Load())[s.Name]; costs[s.Name] == nil {
+			costs[s.Name] = gwcost.NewModel()
+		}
 	}
 	d.limits.Store(&limits)
+	d.costs.Store(&costs)
 	for key, s := range *d.servers.Load() {
 		s.step(func(st *serverState, now time.Time) {
 			st.limits = withDefaults(limits[key.service])
+			st.setCosts(costs[key.service])
 			st.advance(now)
 		})
 	}
--- a/internal/request/gwdispatch/lease.go
+++ b/internal/request/gwdispatch/lease.go
@@ -89,6 +89,7 @@
 		d: d, service: service, granted: d.metrics.granted.WithLabelValues(string(service)),
 		state: newServerState(name, (*d.limits.Load())[service]),
 	}
+	s.state.setCosts((*d.costs.Load())[service])
 	c.servers[name] = s
 	d.updateServers(func(all map[serverKey]*server) { all[serverKey{service, name}] = s })
 	return s
--- a/internal/request/gwdispatch/observe.go
+++ b/internal/request/gwdispatch/observe.go
@@ -48,6 +48,7 @@
 	if refused := result.Outcome == gw.OutcomeNotRun && result.Status != 0; !refused && !result.Overloaded {
 		s.recent.add(now, good)
 	}
+	s.observeCost(now, r, result, took, good)
 	// A request with an unknown outcome took at least this long, which says nothing if it is below the median.
 	if good || result.Outcome == gw.OutcomeUnknown && took > s.serviceTimes.estimate(now).P50 {
 		s.serviceTimes.record(now, took)
@@ -61,6 +62,9 @@
 	s.serverLimit = serverLimit{}
 	s.serviceTimes = newServiceTimes()
 	s.recent = recentResults{}
+	if s.cost != nil {
+		s.cost.Restart()
+	}
 	for i := len(s.busy) - 1; i >= 0; i-- {
 		if s.busy[i].state == stateHeld {
 			s.free(now, s.busy[i])
--- a/internal/request/gwdispatch/order.go
+++ b/internal/request/gwdispatch/order.go
@@ -15,6 +15,9 @@
 // meetsObjective reports whether a request that starts at start and takes the time needed is answered before its
 // objective.
 func (r *request) meetsObjective(start time.Time, needed time.Duration) bool {
+	if r.cost.Known() {
+		return r.canBeOnTime(start)
+	}
 	return r.Objective.IsZero() || !start.Add(needed).After(r.Objective)
 }
 
@@ -55,6 +58,10 @@
 
 // shed refuses the waiting requests that cannot meet their objective and would most likely wait in vain.
 func (s *serverState) shed(now time.Time, est timeSummary) {
+	if s.cost != nil {
+		s.shedByCost(now)
+		return
+	}
 	if s.queue.length < 2 {
 		return
 	}
--- a/internal/request/gwdispatch/request.go
+++ b/internal/request/gwdispatch/request.go
@@ -4,6 +4,7 @@
 	"time"
 
 	gw "github.com/geraniumworks/geraniumworks"
+	"github.com/geraniumworks/geraniumworks/internal/request/gwcost"
 )
 
 type requestState int
@@ -35,6 +36,11 @@
 	sendBefore  time.Time
 	// fractional is true when the request occupies the slot that a cold server may use only part of the time.
 	fractional bool
+	// cost, expectedStart and rank are set for cost-aware services only: the expected cost, when the request is expected
+	// to start, and how many requests of its tenant and priority go before it.
+	cost          gwcost.Estimate
+	expectedStart time.Time
+	rank          int
 	// index is the position in serverState.busy.
 	index int
 
--- a/internal/request/gwdispatch/server.go
+++ b/internal/request/gwdispatch/server.go
@@ -5,6 +5,7 @@
 	"time"
 
 	gw "github.com/geraniumworks/geraniumworks"
+	"github.com/geraniumworks/geraniumworks/internal/request/gwcost"
 )
 
 // serverState decides which requests of one server start, wait or are refused. It is a deterministic state machine:
@@ -35,6 +36,13 @@
 	held         int
 	queue        fairQueue
 	serviceTimes *serviceTimes
+	// cost estimates the costs of requests, nil unless the service is cost-aware. costModel is its model, projected and
+	// projectedLate are reused by project, and turn counts the slots that popByCost has allocated.
+	cost          *gwcost.Server
+	costModel     *gwcost.Model
+	projected     projection
+	projectedLate []*request
+	turn          int
 	// serviceTime is the smoothed service time of successful answers. It is kept when the server restarts.
 	serviceTime time.Duration
 	rates       rates
@@ -70,7 +78,7 @@
 	if r.HasKey {
 		s.arrivals.add(r.Position)
 	}
-	est := s.serviceTimes.estimate(now)
+	est := s.estimateFor(now, r)
 	if s.pausedBeyond(now, r, est) {
 		s.refuse(r, s.busyRefusal(now, est, "the server has asked for a pause"))
 		return
@@ -98,6 +106,10 @@
 }
 
 func (s *serverState) enqueue(now time.Time, r *request, est timeSummary) {
+	if s.cost != nil {
+		s.enqueueByCost(now, r, est)
+		return
+	}
 	s.shed(now, est)
 	if ref := s.queueRefusal(now, r, est); ref != nil {
 		s.refuse(r, ref)
@@ -150,6 +162,10 @@
 	if ok, _ := s.admits(now); ok && s.queue.length == 0 {
 		return nil
 	}
+	if s.cost != nil {
+		est := s.estimateFor(now, r)
+		return s.queueRefusalByCost(now, r, est, s.project(now, r))
+	}
 	return s.queueRefusal(now, r, s.serviceTimes.estimate(now))
 }
 
@@ -300,7 +316,8 @@
 		if !ok {
 			return
 		}
-		r := s.queue.pop(now, est.P50)
+		r := s.pop(now, est)
+		est := s.estimateFor(now, r)
 		needed := est.P50
 		if s.queue.length > 0 {
 			needed = est.MinRemaining
@@ -313,6 +330,14 @@
 	}
 }
 
+// pop removes and returns the request that is served next.
+func (s *serverState) pop(now time.Time, est timeSummary) *request {
+	if s.cost != nil {
+		return s.popByCost(now)
+	}
+	return s.queue.pop(now, est.P50)
+}
+
 // wakeAt returns when advance must be called next, zero when the passage of time alone changes nothing.
 func (s *serverState) wakeAt(now time.Time) time.Time {
 	var at time.Time
