gwentry, gwforward, gwrelay: pass the cost class of requests to dispatchers

Cause: dispatchers could not tell requests of different routes, methods and body sizes apart, so all requests of a service had one base cost.

Change: for services with CostAware the entry host names the class, made of route, method and size of the body in steps of 16, and sends it to relays in Gw-Cost-Class. Unusual methods share one class, since callers choose them. A new configuration drops the classes of routes that no longer exist. Without CostAware the header is absent, and hosts that do not send it are served with the mean of the service.

The round-trip test of the relay and the model's tests cover it; before, the class arrived empty.

--- a/internal/request/gwcost/model_test.go
+++ b/internal/request/gwcost/model_test.go
@@ -94,6 +94,16 @@
 	require.False(t, known)
 	_, known = model.Base("usual")
 	require.True(t, known)
+	route, other := gwcost.ClassOf("a route", "GET", 1000), gwcost.ClassOf("a route", "GET", 100_000)
+	require.NotEqual(t, route, other)
+	require.Equal(t, gwcost.ClassOf("a route", "X1", 0), gwcost.ClassOf("a route", "X2", 0))
+	observe(route, 20*time.Millisecond)
+	observe("GET 0 gone", 20*time.Millisecond)
+	model.Retain(func(name gw.RouteName) bool { return name == "a route" || name == "usual" })
+	_, known = model.Base(route)
+	require.True(t, known)
+	_, known = model.Base("GET 0 gone")
+	require.False(t, known, "its route no longer exists")
 	for range 400 {
 		observe("usual", 80*time.Millisecond)
 	}
--- a/internal/request/gwdispatch/dispatcher.go
+++ b/internal/request/gwdispatch/dispatcher.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -101,6 +102,11 @@
 			costs[s.Name] = gwcost.NewModel()
 		}
 	}
+	for _, model := range costs {
+		model.Retain(func(name gw.RouteName) bool {
+			return slices.ContainsFunc(cfg.Routes, func(r gw.Route) bool { return r.Name == name })
+		})
+	}
 	d.limits.Store(&limits)
 	d.costs.Store(&costs)
 	for key, s := range *d.servers.Load() {
--- a/internal/request/gwentry/attempt.go
+++ b/internal/request/gwentry/attempt.go
@@ -9,6 +9,7 @@
 
 	gw "github.com/geraniumworks/geraniumworks"
 	"github.com/geraniumworks/geraniumworks/internal/process/gwtimer"
+	"github.com/geraniumworks/geraniumworks/internal/request/gwcost"
 	"github.com/geraniumworks/geraniumworks/internal/request/gwforward"
 	"github.com/geraniumworks/geraniumworks/internal/request/gwretry"
 	"github.com/geraniumworks/geraniumworks/internal/request/gwstage"
@@ -128,6 +129,9 @@
 		Objective: c.objective, Priority: c.route.Priority, NoWait: c.search.noWait,
 		Method: c.in.Method, URL: c.in.URL, Host: c.in.Host, Header: c.in.Header, Body: c.body,
 	}
+	if c.service.CostAware {
+		req.Class = gwcost.ClassOf(c.route.Name, c.in.Method, c.in.ContentLength)
+	}
 	res := result{target: target}
 	done := func(int, *gw.Refusal) {}
 	if c.handler.opts.Observer != nil {
--- a/internal/request/gwforward/request.go
+++ b/internal/request/gwforward/request.go
@@ -25,6 +25,8 @@
 	Objective time.Time
 	Priority  int
 	NoWait    bool
+	// Class is the cost class of the request, empty when the service is not cost-aware.
+	Class gw.CostClass
 
 	Method string
 	// URL has the path and the query of the request.
@@ -83,7 +85,7 @@
 }
 
 // addedHeaders is the largest number of headers that outgoing adds.
-const addedHeaders = 12
+const addedHeaders = 13
 
 // head returns the data about the attempt that is sent to the receiver.
 func (r *Request) head(left int64) gw.Attempt {
@@ -140,6 +142,9 @@
 		if r.NoWait {
 			setHeader(h, gw.HeaderNoWait, "true")
 		}
+		if r.Class != "" {
+			setHeader(h, gw.HeaderCostClass, EncodeName(string(r.Class)))
+		}
 		if r.CallerID != "" {
 			setHeader(h, gw.HeaderCallerID, r.CallerID)
 		}
--- a/internal/request/gwrelay/parse.go
+++ b/internal/request/gwrelay/parse.go
@@ -17,11 +17,12 @@
 	if gwforward.IsUpgrade(in.Header) || in.Method == http.MethodConnect {
 		return bad("upgrades are not supported")
 	}
-	values := make(map[string]string, 8)
+	values := make(map[string]string, 14)
 	for _, name := range []string{
 		gw.HeaderRequestID, gw.HeaderOperationID, gw.HeaderTimeout, gw.HeaderPosition, gw.HeaderToken,
 		gw.HeaderServer, gw.HeaderTenant, gw.HeaderService, gw.HeaderRepeatable,
 		gw.HeaderObjective, gw.HeaderPriority, gw.HeaderNoWait, gw.HeaderCallerID,
+		gw.HeaderCostClass,
 	} {
 		value, ok := gwforward.SingleValue(in.Header, name)
 		if !ok {
@@ -47,6 +48,7 @@
 		},
 		Repeatable: values[gw.HeaderRepeatable] == "true",
 		Deadline:   now.Add(time.Duration(left) * time.Millisecond),
+		Class:      gw.CostClass(gwforward.DecodeName(values[gw.HeaderCostClass])),
 		Method:     in.Method, URL: in.URL, Host: in.Host, Header: in.Header,
 	}
 	if refusal := parseUrgency(req, values, now); refusal != nil {
--- a/internal/request/gwrelay/relay.go
+++ b/internal/request/gwrelay/relay.go
@@ -129,6 +129,7 @@
 		Service: req.Target.Service, Server: req.Target.Server, Tenant: req.Tenant,
 		HasKey: req.Target.HasKey, Position: req.Target.Position, Token: req.Target.Token,
 		Deadline: req.Deadline, Objective: req.Objective, Priority: req.Priority, NoWait: req.NoWait,
+		Class: req.Class,
 	}
 }
 
--- a/internal/request/gwrelay/roundtrip_test.go
+++ b/internal/request/gwrelay/roundtrip_test.go
@@ -31,6 +31,7 @@
 				ID: "id", CallerID: "caller", Tenant: gw.TenantName(name), Repeatable: true, Relay: true, Connections: 1,
 				Address: server.Listener.Addr().String(), Method: http.MethodGet, URL: &url.URL{Path: "/"}, Host: "registry",
 				Deadline: now.Add(left), Objective: now.Add(-left), Priority: 1 << 30,
+				Class: gw.CostClass("GET 1 " + name),
 				Target: gw.Target{
 					Service: gw.ServiceName(name), Server: gw.ServerName(name), HasKey: true, Position: ^gw.Position(0),
 					Token: ^gw.Revision(0),
@@ -49,6 +50,7 @@
 			require.Equal(t, req.Target.Position, asked.Position)
 			require.Equal(t, req.Target.Token, asked.Token)
 			require.Equal(t, req.Priority, asked.Priority)
+			require.Equal(t, req.Class, asked.Class)
 			const longest = gwforward.MaxTimeoutMilliseconds * time.Millisecond
 			require.WithinDuration(t, now.Add(min(left, longest)), asked.Deadline, 200*time.Millisecond)
 			require.WithinDuration(t, now.Add(-min(left, longest)), asked.Objective, 200*time.Millisecond)
