Authenticate callers by the keys of tenants

Cause: no code read callers' keys. A document with `tenants` was served as if it had none: every caller was the tenant `platform`, and its Authorization and X-Tenant headers reached the servers.

The entry host finds the tenant by the digest of the credential, refuses other callers with 401 (`unauthenticated`, not-run) unless the route is public, and removes the headers that CallerProtocol.IdentityHeaders names before it passes a request on; pipelined requests take the same path. A relay removes them too, because an entry host may still have a configuration without keys. An odd row of the table is left out and a key belongs to the first row that has it. Without `tenants` nothing changes.

--- a/internal/process/gwhost/host.go
+++ b/internal/process/gwhost/host.go
@@ -154,6 +154,7 @@
 		gwrelay.WithForwarder(h.forwarder("server", gwpool.WithDial(gwsocket.Dialer(serverDialTimeout).DialContext))),
 		gwrelay.WithConfig(config),
 		gwrelay.WithRegion(h.self.Region),
+		gwrelay.WithCallerProtocol(h.backend.CallerProtocol),
 		gwrelay.WithBarred(h.blocked),
 		gwrelay.WithLeaving(h.members.ReportLeaving),
 		gwrelay.WithReach(h.reach),
--- a/internal/request/gwentry/call.go
+++ b/internal/request/gwentry/call.go
@@ -24,10 +24,12 @@
 	started time.Time
 	version gw.ConfigVersion
 	// id is the request id that the caller has set, empty when there is none.
-	id          string
-	route       gw.Route
-	service     gw.Service
-	tenant      gw.Tenant
+	id      string
+	route   gw.Route
+	service gw.Service
+	tenant  gw.Tenant
+	// header holds the headers that are passed on: those of the caller, without its credential when keys are required.
+	header      http.Header
 	key         string
 	operationID string
 	repeatable  bool
@@ -68,8 +70,12 @@
 		return refusal
 	}
 	c.id = head.ID
-	if c.tenant, ok = x.tenants[head.Tenant]; !ok {
-		return gw.Refuse(gw.ReasonUnknownTenant, "the tenant is missing or unknown")
+	if c.tenant, refusal = x.identify(c.route, head); refusal != nil {
+		return refusal
+	}
+	c.header = c.in.Header
+	if x.keysRequired {
+		c.header = gwforward.WithoutHeaders(c.in.Header, c.handler.opts.Callers.IdentityHeaders())
 	}
 	if c.service, ok = x.services[c.serviceName(x)]; !ok {
 		return gw.Refuse(gw.ReasonNoRoute, "the service of the route does not exist")
--- a/internal/request/gwentry/fakes_test.go
+++ b/internal/request/gwentry/fakes_test.go
@@ -141,6 +141,8 @@
 	// idle is the idle timeout of pooled connections in milliseconds.
 	idle int64
 	log  *slog.Logger
+	// configure changes the configuration, nil for nothing.
+	configure func(*gw.Config)
 }
 
 func testConfig(s setup) gw.Config {
@@ -185,6 +187,9 @@
 	}
 	t.Cleanup(sys.pool.Close)
 	cfg := testConfig(s)
+	if s.configure != nil {
+		s.configure(&cfg)
+	}
 	config := func() gw.Config { return cfg }
 	forwarder := gwforward.New(gwforward.WithPool(sys.pool))
 	sys.relay = gwrelay.New(
--- a/internal/request/gwentry/index.go
+++ b/internal/request/gwentry/index.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
 	"net"
 	"net/http"
 	"net/url"
@@ -19,6 +21,9 @@
 	tenants  map[gw.TenantName]gw.Tenant
 	// routes is sorted: routes for one host precede those for all hosts, and longer prefixes precede shorter ones.
 	routes []gw.Route
+	// keysRequired is set when callers must authenticate. keys holds the tenant of each key by the digest of the key.
+	keysRequired bool
+	keys         map[[sha256.Size]byte]gw.TenantName
 }
 
 func newConfigIndex(cfg gw.Config) *configIndex {
@@ -27,12 +32,25 @@
 		services: make(map[gw.ServiceName]gw.Service, len(cfg.Services)),
 		tenants:  make(map[gw.TenantName]gw.Tenant, len(cfg.Tenants)),
 		routes:   slices.Clone(cfg.Routes),
+
+		keysRequired: cfg.KeysRequired,
+		keys:         map[[sha256.Size]byte]gw.TenantName{},
 	}
 	for _, s := range cfg.Services {
 		x.services[s.Name] = s
 	}
 	for _, t := range cfg.Tenants {
 		x.tenants[t.Name] = t
+		for _, text := range t.KeyDigests {
+			var digest [sha256.Size]byte
+			if n, err := hex.Decode(digest[:], []byte(text)); err != nil || n != len(digest) {
+				continue
+			}
+			// A key belongs to the first tenant that has it, so that a later one cannot take it over.
+			if _, taken := x.keys[digest]; !taken {
+				x.keys[digest] = t.Name
+			}
+		}
 	}
 	slices.SortStableFunc(x.routes, func(a, b gw.Route) int {
 		if (a.Host == "") != (b.Host == "") {
@@ -43,6 +61,30 @@
 	return x
 }
 
+// identify returns the tenant of a request. Callers of public routes need no key. Without a known key they are served
+// as the tenant that the protocol names if it has no keys: what a caller says itself must not make it a tenant with keys.
+func (x *configIndex) identify(route gw.Route, head gw.CallerHead) (gw.Tenant, *gw.Refusal) {
+	unknown := gw.Refuse(gw.ReasonUnknownTenant, "the tenant is missing or unknown")
+	if !x.keysRequired {
+		if tenant, ok := x.tenants[head.Tenant]; ok {
+			return tenant, nil
+		}
+		return gw.Tenant{}, unknown
+	}
+	if head.Credential != "" {
+		if name, ok := x.keys[sha256.Sum256([]byte(head.Credential))]; ok {
+			return x.tenants[name], nil
+		}
+	}
+	if !route.Public {
+		return gw.Tenant{}, gw.Refuse(gw.ReasonUnauthenticated, "the key of the caller is missing or unknown")
+	}
+	if tenant, ok := x.tenants[head.Tenant]; ok && len(tenant.KeyDigests) == 0 {
+		return tenant, nil
+	}
+	return gw.Tenant{}, unknown
+}
+
 // route returns the first route that matches the host and the escaped path of a request.
 func (x *configIndex) route(host, path string) (gw.Route, bool) {
 	if name, _, err := net.SplitHostPort(host); err == nil {
--- a/internal/request/gwforward/headers.go
+++ b/internal/request/gwforward/headers.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/textproto"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -84,6 +85,30 @@
 	}
 }
 
+// BearerCredential returns the credential of an Authorization header of the Bearer scheme. It is empty when there is no
+// such header, or more than one.
+func BearerCredential(h http.Header) string {
+	value, _ := SingleValue(h, "Authorization")
+	scheme, credential, _ := strings.Cut(value, " ")
+	if !strings.EqualFold(scheme, "Bearer") {
+		return ""
+	}
+	return strings.TrimSpace(credential)
+}
+
+// WithoutHeaders returns the headers of h without the named ones. An underscore counts as a hyphen, because many
+// servers do not distinguish them. The slices of values are shared with h.
+func WithoutHeaders(h http.Header, names []string) http.Header {
+	rest := make(http.Header, len(h))
+	for name, values := range h {
+		plain := strings.ReplaceAll(name, "_", "-")
+		if !slices.ContainsFunc(names, func(other string) bool { return strings.EqualFold(other, plain) }) {
+			rest[name] = values
+		}
+	}
+	return rest
+}
+
 // OperationID returns the idempotency key of a caller's request, and false when the request has several different keys.
 func OperationID(h http.Header) (string, bool) {
 	id, ok := SingleValue(h, HeaderIdempotencyKey)
@@ -130,6 +155,9 @@
 	h := w.Header()
 	body := callers.EncodeRefusal(h, refusal)
 	setHeader(h, "Content-Length", itoa(int64(len(body))))
+	if refusal.Reason == gw.ReasonUnauthenticated {
+		setHeader(h, "Www-Authenticate", "Bearer")
+	}
 	w.WriteHeader(refusal.Reason.Status())
 	// An error means that the caller has closed the connection, so there is nobody to report it to.
 	_, _ = w.Write(body)
--- a/internal/request/gwforward/native.go
+++ b/internal/request/gwforward/native.go
@@ -24,7 +24,7 @@
 	if !ok {
 		return gw.CallerHead{}, gw.Refuse(gw.ReasonBadRequest, "the tenant header occurs more than once")
 	}
-	head := gw.CallerHead{Tenant: gw.TenantName(tenant)}
+	head := gw.CallerHead{Tenant: gw.TenantName(tenant), Credential: BearerCredential(h)}
 	value, ok := SingleValue(h, gw.HeaderTimeout)
 	if !ok {
 		return head, gw.Refuse(gw.ReasonBadRequest, "the timeout header occurs more than once")
@@ -40,6 +40,11 @@
 	return head, nil
 }
 
+// IdentityHeaders implements gw.CallerProtocol.
+func (NativeCallers) IdentityHeaders() []string {
+	return []string{"Authorization", gw.HeaderTenant}
+}
+
 // EncodeRefusal implements gw.CallerProtocol.
 func (NativeCallers) EncodeRefusal(h http.Header, refusal *gw.Refusal) []byte {
 	setHeader(h, "Content-Type", "application/json")
--- a/internal/request/gwrelay/options.go
+++ b/internal/request/gwrelay/options.go
@@ -22,6 +22,7 @@
 	Forwarder  *gwforward.Forwarder
 	Config     func() gw.Config
 	Region     gw.RegionName
+	Callers    gw.CallerProtocol
 	Barred     func(gw.ServerName) bool
 	Leaving    func(gw.ServerName, gw.Incarnation)
 	Reach      gw.Reach
@@ -52,6 +53,12 @@
 	return func(o *Options) { o.Region = r }
 }
 
+// WithCallerProtocol sets the protocol for callers, which names the headers that must not reach a server. By default it
+// is gwforward.NativeCallers.
+func WithCallerProtocol(p gw.CallerProtocol) Option {
+	return func(o *Options) { o.Callers = p }
+}
+
 // WithBarred sets a function that reports servers to which no more requests may be sent, even if their controller has
 // given this host the right to: they have been leaving or out of service for too long. By default there are none.
 func WithBarred(barred func(gw.ServerName) bool) Option {
--- a/internal/request/gwrelay/relay.go
+++ b/internal/request/gwrelay/relay.go
@@ -31,7 +31,7 @@
 	o := Options{
 		Barred:  func(gw.ServerName) bool { return false },
 		Leaving: func(gw.ServerName, gw.Incarnation) {}, Logger: slog.New(slog.DiscardHandler),
-		Reach: noReach{},
+		Reach: noReach{}, Callers: gwforward.NativeCallers{},
 	}
 	for _, opt := range opts {
 		opt(&o)
@@ -296,6 +296,10 @@
 		refusal.HomeRegions = tenant.HomeRegions
 		return refusal
 	}
+	if cfg.KeysRequired {
+		// An entry host with an earlier configuration passes credentials on.
+		req.Header = gwforward.WithoutHeaders(req.Header, r.opts.Callers.IdentityHeaders())
+	}
 	req.Limits = service.Limits
 	return nil
 }
--- a/protocol.go
+++ b/protocol.go
@@ -18,6 +18,9 @@
 type CallerProtocol interface {
 	// Decode reads the head of a request. It refuses contradictory heads with ReasonBadRequest.
 	Decode(h http.Header) (CallerHead, *Refusal)
+	// IdentityHeaders names the headers with the credential and the tenant of a caller. They are not passed on when the
+	// configuration requires keys.
+	IdentityHeaders() []string
 	// EncodeRefusal sets the headers of a refusal and returns its body.
 	EncodeRefusal(h http.Header, refusal *Refusal) []byte
 	// EncodeAnswer sets the headers that the system adds to a backend server's answer.
