Routes of kind download may be repeated

Cause: the operators' kind `download` (large responses) was decoded as an unknown kind, so as unsafe, and a request whose first server failed was not sent to another one. The native files refused the kind.

Kinds that are not known stay unsafe.

--- a/internal/version/gwconfig/check.go
+++ b/internal/version/gwconfig/check.go
@@ -216,13 +216,13 @@
 	maxWarmupMilliseconds = 600_000
 )
 
-var kinds = []gw.RouteKind{gw.RouteSafe, gw.RouteUnsafe, gw.RouteUpload}
+var kinds = []gw.RouteKind{gw.RouteSafe, gw.RouteDownload, gw.RouteUnsafe, gw.RouteUpload}
 
 // routeKind checks what a route says about the way its requests are served.
 func (c *checker) routeKind(at string, r gw.Route) {
 	if r.Kind != gw.RouteByMethod && !slices.Contains(kinds, r.Kind) {
 		c.fail(at+".kind", fmt.Sprintf("is %q", clip(string(r.Kind))),
-			"safe, unsafe or upload, or omit the field to go by repeatable-methods")
+			"safe, download, unsafe or upload, or omit the field to go by repeatable-methods")
 	}
 	for i, part := range r.Split {
 		field := fmt.Sprintf("%s.split[%d]", at, i)
