Tenants' priorities go before those of routes

Cause: the priority of a request was its route's, and the queue of a server served tenants in turn whatever their priority. A tenant could not be given precedence.

An urgent request may displace those of less urgent tenants, except the last one of each. The expected wait counts tenants by priority. With one priority, the order is the same as before.

--- a/internal/request/gwdispatch/server.go
+++ b/internal/request/gwdispatch/server.go
@@ -104,7 +104,7 @@
 		return
 	}
 	if s.queue.length >= s.limits.QueueLength {
-		displaced := s.queue.displace(r.Tenant)
+		displaced := s.queue.displace(r.Tenant, r.Priority)
 		if displaced == nil {
 			s.refuse(r, s.busyRefusal(now, est, "queue of the server is full"))
 			return
@@ -129,7 +129,7 @@
 	if !r.Objective.IsZero() {
 		mean = s.expectedServiceTime(now, est)
 	}
-	wait := s.drainTime(now, s.queue.ahead(r.Tenant), mean)
+	wait := s.drainTime(now, s.queue.ahead(r.Tenant, r.Priority), mean)
 	start := now.Add(wait)
 	switch {
 	case !r.meetsObjective(start, est.P50) && s.notWorthQueueing(now, r, s.queue.length, est):
--- a/internal/request/gwentry/attempt.go
+++ b/internal/request/gwentry/attempt.go
@@ -125,7 +125,7 @@
 	req := &gwforward.Request{
 		ID: rand.Text(), CallerID: c.id, OperationID: c.operationID, Tenant: c.tenant.Name, Target: target,
 		Repeatable: c.repeatable, Limits: c.service.Limits, Deadline: c.deadline,
-		Objective: c.objective, Priority: c.route.Priority, NoWait: c.search.noWait,
+		Objective: c.objective, Priority: c.priority, NoWait: c.search.noWait,
 		Method: c.in.Method, URL: c.in.URL, Host: c.in.Host, Header: c.header, Body: c.body,
 	}
 	res := result{target: target}
--- a/internal/request/gwentry/call.go
+++ b/internal/request/gwentry/call.go
@@ -29,7 +29,9 @@
 	service gw.Service
 	tenant  gw.Tenant
 	// header holds the headers that are passed on: those of the caller, without its credential when keys are required.
-	header      http.Header
+	header http.Header
+	// priority is the rank of the request among those that wait for a slot.
+	priority    int
 	key         string
 	operationID string
 	repeatable  bool
@@ -73,8 +75,9 @@
 	if c.tenant, refusal = x.identify(c.route, head); refusal != nil {
 		return refusal
 	}
-	c.header = c.in.Header
+	c.header, c.priority = c.in.Header, c.route.Priority
 	if x.keysRequired {
+		c.priority = gw.CombinePriorities(c.tenant.Priority, c.route.Priority)
 		c.header = gwforward.WithoutHeaders(c.in.Header, c.handler.opts.Callers.IdentityHeaders())
 	}
 	if c.service, ok = x.services[c.serviceName(x)]; !ok {
--- a/internal/request/gwentry/index.go
+++ b/internal/request/gwentry/index.go
@@ -62,7 +62,7 @@
 }
 
 // identify returns the tenant of a request. Callers of public routes need no key. Without a known key they are served
-// as the tenant that the protocol names if it has no keys: what a caller says itself must not make it a tenant with keys.
+// as the tenant that the protocol names if it has no keys: what a caller says must not make it a tenant with keys.
 func (x *configIndex) identify(route gw.Route, head gw.CallerHead) (gw.Tenant, *gw.Refusal) {
 	unknown := gw.Refuse(gw.ReasonUnknownTenant, "the tenant is missing or unknown")
 	if !x.keysRequired {
--- a/internal/request/gwentry/keys_test.go
+++ b/internal/request/gwentry/keys_test.go
@@ -125,3 +125,25 @@
 	require.ElementsMatch(t, []string{"first", "second"}, []string{<-keys, <-keys})
 	require.Empty(t, keys)
 }
+
+// Guards against a tenant's priority that is lost on the way to the dispatcher, and against a route's priority that is
+// changed where keys are not required.
+func TestTenantPriorityReachesDispatcher(t *testing.T) {
+	viaRelayAndLocal(t, func(t *testing.T, local bool) {
+		for _, required := range []bool{true, false} {
+			server := echoServer(t, func(http.ResponseWriter, *http.Request) {})
+			sys := newSystem(t, setup{
+				servers: map[gw.ServerName]string{"s1": server}, local: local, configure: func(cfg *gw.Config) {
+					requireKeys(cfg)
+					cfg.KeysRequired, cfg.Tenants[1].Priority, cfg.Routes[1].Priority = required, 3, 4
+				},
+			})
+			require.Equal(t, http.StatusOK, sys.do("GET", "/claims", nil, "Authorization", "Bearer key-1").status)
+			want := 4
+			if required {
+				want = gw.CombinePriorities(3, 4)
+			}
+			require.Equal(t, want, sys.dispatcher.asked[0].Priority)
+		}
+	})
+}
