--- a/internal/request/gwentry/call.go
+++ b/internal/request/gwentry/call.go
@@ -24,10 +24,14 @@
 	started time.Time
 	version gw.ConfigVersion
 	// id is the request id that the caller has set, empty when there is none.
-	id          string
-	route       gw.Route
-	service     gw.Service
-	tenant      gw.Tenant
+	id      string
+	route   gw.Route
+	service gw.Service
+	tenant  gw.Tenant
+	// header holds the headers that are passed on: those of the caller, without its credential when keys are required.
+	header http.Header
+	// priority is the rank of the request among those that wait for a slot.
+	priority    int
 	key         string
 	operationID string
 	repeatable  bool
@@ -68,8 +72,13 @@
 		return refusal
 	}
 	c.id = head.ID
-	if c.tenant, ok = x.tenants[head.Tenant]; !ok {
-		return gw.Refuse(gw.ReasonUnknownTenant, "the tenant is missing or unknown")
+	if c.tenant, refusal = x.identify(c.route, head); refusal != nil {
+		return refusal
+	}
+	c.header, c.priority = c.in.Header, c.route.Priority
+	if x.keysRequired {
+		c.priority = gw.CombinePriorities(c.tenant.Priority, c.route.Priority)
+		c.header = gwforward.WithoutHeaders(c.in.Header, c.handler.opts.Callers.IdentityHeaders())
 	}
 	if c.service, ok = x.services[c.serviceName(x)]; !ok {
 		return gw.Refuse(gw.ReasonNoRoute, "the service of the route does not exist")
