--- a/internal/request/gwdispatch/costorder.go
+++ b/internal/request/gwdispatch/costorder.go
@@ -253,7 +253,7 @@
 	case p.isLate(r) && p.late > 0:
 		return nil
 	default:
-		return s.queue.displace(r.Tenant)
+		return s.queue.displace(r.Tenant, r.Priority)
 	}
 }
 
