gwdispatch: metrics of costs, rules and promised returns

Cause: operators could not see whether costs are misjudged, nor by which rule requests of cost-aware services are refused.

Change: expected and observed time in slots by service and cost class, read from the models at each scrape and so bounded by their 256 classes; refusals by rule; promised returns.

Before, the test of the metrics page named the four as missing; it passes.

--- a/internal/request/gwcost/model.go
+++ b/internal/request/gwcost/model.go
@@ -66,6 +66,12 @@
 	a.value += a.gain(now) * (value - a.value)
 }
 
+// class is the base cost of a class, with the sums of expected and observed costs in seconds.
+type class struct {
+	average
+	expected, observed float64
+}
+
 // Model learns the base costs of the classes of a service and the distribution of observed / expected
 // cost. It is safe for concurrent use by the states of several servers.
 //
@@ -73,34 +79,40 @@
 // factor of 5. A single histogram of service times makes cheap requests look late and costly ones on time.
 type Model struct {
 	mu      sync.Mutex
-	classes map[gw.CostClass]*average
+	classes map[gw.CostClass]*class
 	service average
 	ratios  ratios
 }
 
 // NewModel returns a model without observations.
 func NewModel() *Model {
-	return &Model{classes: make(map[gw.CostClass]*average)}
+	return &Model{classes: make(map[gw.CostClass]*class)}
 }
 
 // base returns the base cost of a class in seconds, zero when nothing has been observed.
-func (m *Model) base(class gw.CostClass) float64 {
+func (m *Model) base(name gw.CostClass) float64 {
 	if m.service.total == 0 {
 		return 0
 	}
-	c := m.classes[class]
+	c := m.classes[name]
 	if c == nil {
 		return math.Exp(m.service.value)
 	}
 	return math.Exp((c.value*c.total + m.service.value*priorSamples) / (c.total + priorSamples))
 }
 
-func (m *Model) observe(now time.Time, class gw.CostClass, base float64) {
-	c := m.classes[class]
+// observe learns from a request, for which there was an estimate at its start, the base cost that follows from it.
+func (m *Model) observe(now time.Time, name gw.CostClass, est Estimate, took time.Duration, base float64) {
+	c := m.classes[name]
 	if c == nil {
 		m.makeRoom()
-		c = &average{}
-		m.classes[class] = c
+		c = &class{}
+		m.classes[name] = c
+	}
+	if est.Known() {
+		c.expected += est.Mean.Seconds()
+		c.observed += took.Seconds()
+		m.ratios.add(now, float64(took)/float64(est.Typical))
 	}
 	c.add(now, math.Log(base))
 	m.service.add(now, math.Log(base))
@@ -121,12 +133,29 @@
 	delete(m.classes, oldest)
 }
 
+// Total has the sums of expected and observed costs of the requests of a class.
+type Total struct {
+	Class              gw.CostClass
+	Expected, Observed time.Duration
+}
+
+// Totals returns the sums of the classes since each was first observed.
+func (m *Model) Totals() []Total {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make([]Total, 0, len(m.classes))
+	for name, c := range m.classes {
+		out = append(out, Total{Class: name, Expected: seconds(c.expected), Observed: seconds(c.observed)})
+	}
+	return out
+}
+
 // Base returns the base cost of a class, and whether the class itself has been observed.
-func (m *Model) Base(class gw.CostClass) (cost time.Duration, known bool) {
+func (m *Model) Base(name gw.CostClass) (cost time.Duration, known bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	_, known = m.classes[class]
-	return seconds(m.base(class)), known
+	_, known = m.classes[name]
+	return seconds(m.base(name)), known
 }
 
 func seconds(s float64) time.Duration {
--- a/internal/request/gwcost/model_test.go
+++ b/internal/request/gwcost/model_test.go
@@ -110,7 +110,8 @@
 	require.InEpsilon(t, 80*time.Millisecond, server.Expect(now, "usual").Mean, 0.3)
 }
 
-// Load pattern: 40 callers are refused at the same moment by a server that is offered half of its capacity. Guards against callers that return all at once, before there is capacity, or in a time slot promised to others.
+// Load pattern: 40 callers are refused at the same moment by a server that is offered half of its capacity. Guards
+// against callers that return all at once, before there is capacity, or in a time slot promised to others.
 func TestReturnsAreSpread(t *testing.T) {
 	var plan gwcost.Returns
 	now, cost := time.Unix(1000, 0), 50*time.Millisecond
--- a/internal/request/gwcost/server.go
+++ b/internal/request/gwcost/server.go
@@ -140,8 +140,5 @@
 	if !complete {
 		return
 	}
-	if est.Known() {
-		s.model.ratios.add(now, float64(took)/float64(est.Typical))
-	}
-	s.model.observe(now, class, took.Seconds()/(math.Exp(learned)*factor))
+	s.model.observe(now, class, est, took, took.Seconds()/(math.Exp(learned)*factor))
 }
--- a/internal/request/gwdispatch/costorder.go
+++ b/internal/request/gwdispatch/costorder.go
@@ -209,7 +209,8 @@
 	}
 	for _, r := range slices.Clone(p.order[p.late:]) {
 		if s.waitsInVain(now, r) && s.queue.remove(r) {
-			s.refuse(r, s.busyByCost(now, r, "the objective cannot be met, and requests that can meet theirs are waiting"))
+			s.refuse(r, s.busyByCost(
+				now, r, ruleObjective, "the objective cannot be met, and requests that can meet theirs are waiting"))
 		}
 	}
 }
@@ -225,10 +226,11 @@
 	if s.queue.length >= s.limits.QueueLength {
 		displaced := s.displaceByCost(r, p)
 		if displaced == nil {
-			s.refuse(r, s.busyByCost(now, r, "queue of the server is full"))
+			s.refuse(r, s.busyByCost(now, r, ruleQueueFull, "queue of the server is full"))
 			return
 		}
-		s.refuse(displaced, s.busyByCost(now, displaced, "queue of the server is full, and another request goes first"))
+		s.refuse(displaced, s.busyByCost(
+			now, displaced, ruleDisplaced, "queue of the server is full, and another request goes first"))
 	}
 	r.ready = make(chan struct{})
 	s.queue.push(r)
@@ -241,15 +243,16 @@
 	wait := r.expectedStart.Sub(now)
 	switch {
 	case r.NoWait:
+		r.rule = ruleNoWait
 		return gw.Refuse(gw.ReasonOverloaded, "no slot is free").WithRetryAfter(max(wait, minRetryAfter).Milliseconds())
 	case p.isLate(r) && p.late > 0 && s.waitsInVain(now, r):
-		return s.busyByCost(now, r, "the objective cannot be met")
+		return s.busyByCost(now, r, ruleObjective, "the objective cannot be met")
 	case r.expectedStart.After(r.queueDeadline) || r.expectedStart.Add(est.MinRemaining).After(r.Deadline):
 		const detail = "the expected wait in the queue exceeds the time left"
 		if ref := s.tooLateRefusal(r, wait+est.MinRemaining, detail); ref.Reason != gw.ReasonOverloaded {
 			return ref
 		}
-		return s.busyByCost(now, r, detail)
+		return s.busyByCost(now, r, ruleWait, detail)
 	}
 	return nil
 }
@@ -270,10 +273,22 @@
 	}
 }
 
+// The rules by which requests of cost-aware services are refused, as the metrics name them.
+const (
+	ruleNoWait    = "no-wait"
+	ruleObjective = "objective"
+	ruleWait      = "wait"
+	ruleQueueFull = "queue-full"
+	ruleDisplaced = "displaced"
+	rulePause     = "pause"
+)
+
 // busyByCost returns a refusal of a request that asks its caller to return when capacity is expected.
-func (s *serverState) busyByCost(now time.Time, r *request, detail string) *gw.Refusal {
+func (s *serverState) busyByCost(now time.Time, r *request, rule, detail string) *gw.Refusal {
 	s.project(now, nil)
-	delay, _ := s.returns.Refuse(now, s.capacity(now, r.cost.Mean), r.cost.Mean, r.Deadline.Sub(now))
+	r.rule = rule
+	var delay time.Duration
+	delay, r.returns = s.returns.Refuse(now, s.capacity(now, r.cost.Mean), r.cost.Mean, r.Deadline.Sub(now))
 	return gw.Refuse(gw.ReasonOverloaded, detail).WithRetryAfter(delay.Milliseconds())
 }
 
--- a/internal/request/gwdispatch/dispatcher.go
+++ b/internal/request/gwdispatch/dispatcher.go
@@ -86,6 +86,9 @@
 		d.origin = d.clock.Now().Add(-time.Second)
 	}
 	d.metrics = newMetrics(d.registerer)
+	if d.registerer != nil {
+		d.registerer.MustRegister(newCostCollector(func() map[gw.ServiceName]*gwcost.Model { return *d.costs.Load() }))
+	}
 	return d
 }
 
@@ -167,6 +170,7 @@
 	}
 	if r.refusal != nil {
 		d.metrics.refused(req.Service, r.refusal.Reason)
+		d.metrics.refusedByRule(r)
 		return nil, r.refusal
 	}
 	s.granted.Inc()
--- a/internal/request/gwdispatch/pause.go
+++ b/internal/request/gwdispatch/pause.go
@@ -60,7 +60,7 @@
 func (s *serverState) pauseRefusal(now time.Time, r *request, est timeSummary) *gw.Refusal {
 	const detail = "the server has asked for a pause"
 	if s.cost != nil {
-		return s.busyByCost(now, r, detail)
+		return s.busyByCost(now, r, rulePause, detail)
 	}
 	return s.busyRefusal(now, est, detail)
 }
--- a/internal/request/gwdispatch/request.go
+++ b/internal/request/gwdispatch/request.go
@@ -41,6 +41,10 @@
 	cost          gwcost.Estimate
 	expectedStart time.Time
 	rank          int
+	// rule is the rule by which the request of a cost-aware service was refused, and returns is set when its caller is
+	// expected to return.
+	rule    string
+	returns bool
 	// index is the position in serverState.busy.
 	index int
 
