gwdispatch: waiting requests lose their estimates when cost-aware is switched off

Cause: requests that waited while a configuration switched cost-aware off were judged by their own 85% quantile for the rest of their wait, others by the median of the server.

Change: setCosts clears the estimates of waiting requests.

--- a/internal/request/gwdispatch/costorder.go
+++ b/internal/request/gwdispatch/costorder.go
@@ -21,6 +21,13 @@
 	s.costModel, s.cost = model, nil
 	if model != nil {
 		s.cost = gwcost.NewServer(model)
+		return
+	}
+	for _, t := range s.queue.tenants {
+		for _, r := range t.requests {
+			// Without an estimate of its own, the request is judged by the server's median.
+			r.cost = gwcost.Estimate{}
+		}
 	}
 }
 
