Home regions of tenant and route both apply to a request

Cause: the home regions of a tenant and those of a route were checked apart. A host outside a tenant's home regions refused the request with 421 although a home region could serve it, the owner of an ordered key was not checked against the tenant, and a relay knew only the tenant's regions.

Change: where keys are required, a request may be served in the regions that tenant and route both permit. The entry host routes by them from any region, and refuses with 421 when there are none. It names them to the relay in Gw-Regions, and the relay compares its own region before it reads the body, beside the check of the tenant that it had. Without keys nothing changes, in headers between hosts too.

After: all tests of gwentry, gwforward, gwrelay, gwtable and the root package pass.

--- a/internal/request/gwentry/attempt.go
+++ b/internal/request/gwentry/attempt.go
@@ -84,19 +84,19 @@
 			return target, nil
 		}
 	} else if len(avoid) > 0 {
-		anywhere := gw.RouteRequest{HomeRegions: c.route.HomeRegions, Exclude: slices.Concat(c.exclude, avoid), NoWait: true}
+		anywhere := gw.RouteRequest{HomeRegions: c.homes, Exclude: slices.Concat(c.exclude, avoid), NoWait: true}
 		if target, refusal := c.askRouter(ctx, anywhere); refusal == nil {
 			return target, nil
 		}
 		c.search.exhausted = true
 	}
-	return c.askRouter(ctx, gw.RouteRequest{HomeRegions: c.route.HomeRegions, Exclude: c.exclude})
+	return c.askRouter(ctx, gw.RouteRequest{HomeRegions: c.homes, Exclude: c.exclude})
 }
 
-// nearRegions returns this host's region if the route may be served there, otherwise the home regions of the route.
+// nearRegions returns this host's region if the request may be served there, otherwise its home regions.
 func (c *call) nearRegions() []gw.RegionName {
 	own := c.handler.opts.Region
-	if homes := c.route.HomeRegions; len(homes) > 0 && !slices.Contains(homes, own) {
+	if homes := c.homes; len(homes) > 0 && !slices.Contains(homes, own) {
 		return homes
 	}
 	return []gw.RegionName{own}
@@ -128,6 +128,9 @@
 		Objective: c.objective, Priority: c.priority, NoWait: c.search.noWait,
 		Method: c.in.Method, URL: c.in.URL, Host: c.in.Host, Header: c.header, Body: c.body,
 	}
+	if c.keysRequired {
+		req.Regions = c.homes
+	}
 	res := result{target: target}
 	done := func(int, *gw.Refusal) {}
 	if c.handler.opts.Observer != nil {
@@ -222,7 +225,7 @@
 	defer cancel()
 	exclude := slices.Concat(c.exclude, []gw.ServerName{target.Server})
 	other, refusal := c.handler.opts.Router.Route(ctx, gw.RouteRequest{
-		Service: c.service.Name, Tenant: c.tenant.Name, HomeRegions: c.route.HomeRegions,
+		Service: c.service.Name, Tenant: c.tenant.Name, HomeRegions: c.homes,
 		Exclude: exclude, Stale: c.staleToken,
 	})
 	if refusal != nil || other.HasKey || other.Server == target.Server {
--- a/internal/request/gwentry/call.go
+++ b/internal/request/gwentry/call.go
@@ -30,6 +30,10 @@
 	tenant  gw.Tenant
 	// header holds the headers that are passed on: those of the caller, without its credential when keys are required.
 	header http.Header
+	// keysRequired is set when the configuration of the request requires keys.
+	keysRequired bool
+	// homes are the only regions in which the request may be served, empty for all.
+	homes []gw.RegionName
 	// priority is the rank of the request among those that wait for a slot.
 	priority    int
 	key         string
@@ -75,15 +79,18 @@
 	if c.tenant, refusal = x.identify(c.route, head); refusal != nil {
 		return refusal
 	}
-	c.header, c.priority = c.in.Header, c.route.Priority
-	if x.keysRequired {
+	c.header, c.priority, c.homes = c.in.Header, c.route.Priority, c.route.HomeRegions
+	if c.keysRequired = x.keysRequired; c.keysRequired {
+		if c.homes, ok = commonRegions(c.tenant.HomeRegions, c.route.HomeRegions); !ok {
+			return c.wrongRegion()
+		}
 		c.priority = gw.CombinePriorities(c.tenant.Priority, c.route.Priority)
 		c.header = gwforward.WithoutHeaders(c.in.Header, c.handler.opts.Callers.IdentityHeaders())
 	}
 	if c.service, ok = x.services[c.serviceName(x)]; !ok {
 		return gw.Refuse(gw.ReasonNoRoute, "the service of the route does not exist")
 	}
-	if homes := c.tenant.HomeRegions; len(homes) > 0 && !slices.Contains(homes, c.handler.opts.Region) {
+	if homes := c.tenant.HomeRegions; !x.keysRequired && len(homes) > 0 && !slices.Contains(homes, c.handler.opts.Region) {
 		return c.wrongRegion()
 	}
 	if refusal := c.setDeadline(now, head); refusal != nil {
@@ -105,6 +112,16 @@
 	return nil
 }
 
+// commonRegions returns the regions that are in both lists, where an empty one stands for all regions. It reports false
+// when there are none.
+func commonRegions(a, b []gw.RegionName) ([]gw.RegionName, bool) {
+	if len(a) == 0 || len(b) == 0 {
+		return slices.Concat(a, b), true
+	}
+	common := slices.DeleteFunc(slices.Clone(a), func(r gw.RegionName) bool { return !slices.Contains(b, r) })
+	return common, len(common) > 0
+}
+
 func (c *call) wrongRegion() *gw.Refusal {
 	refusal := gw.Refuse(gw.ReasonWrongRegion, "requests of the tenant are served only in its home regions")
 	refusal.HomeRegions = c.tenant.HomeRegions
@@ -148,7 +165,7 @@
 			return gwsplit.RemoteRegion
 		}
 		target, refusal := c.handler.opts.Router.Route(c.in.Context(), gw.RouteRequest{
-			Service: name, Tenant: c.tenant.Name, HomeRegions: c.route.HomeRegions, Key: key, NoWait: true,
+			Service: name, Tenant: c.tenant.Name, HomeRegions: c.homes, Key: key, NoWait: true,
 		})
 		if refusal != nil || target.RemoteRegion {
 			return gwsplit.RemoteRegion
--- a/internal/request/gwentry/keys_test.go
+++ b/internal/request/gwentry/keys_test.go
@@ -17,6 +17,7 @@
 
 	gw "github.com/geraniumworks/geraniumworks"
 	"github.com/geraniumworks/geraniumworks/internal/request/gwentry"
+	"github.com/geraniumworks/geraniumworks/internal/request/gwforward"
 )
 
 func digestOf(key string) string {
@@ -147,3 +148,51 @@
 		}
 	})
 }
+
+// Guards against a request that may be served in regions that either its tenant or its route excludes, and against one
+// that is refused although a home region can serve it from a host elsewhere. The host stands in holland.
+func TestRegionsOfTenantAndRouteBothApply(t *testing.T) {
+	for _, c := range []struct {
+		tenant, route, want []gw.RegionName
+		reason              gw.Reason
+	}{
+		{nil, nil, nil, ""},
+		{[]gw.RegionName{"friesland"}, nil, []gw.RegionName{"friesland"}, ""},
+		{nil, []gw.RegionName{"friesland"}, []gw.RegionName{"friesland"}, ""},
+		{[]gw.RegionName{"holland", "a, b"}, []gw.RegionName{"a, b", "x"}, []gw.RegionName{"a, b"}, ""},
+		{[]gw.RegionName{"friesland"}, []gw.RegionName{"holland"}, nil, gw.ReasonWrongRegion},
+	} {
+		var regions []string
+		relay := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			regions = r.Header[gw.HeaderRegions]
+			w.Header().Set(gw.HeaderRequestID, r.Header.Get(gw.HeaderRequestID))
+			w.Header().Set(gw.HeaderOutcome, string(gw.OutcomeAnswered))
+		}))
+		t.Cleanup(relay.Close)
+		sys := newSystem(t, setup{
+			servers: map[gw.ServerName]string{"s1": ""}, relay: relay.Listener.Addr().String(),
+			configure: func(cfg *gw.Config) {
+				requireKeys(cfg)
+				cfg.Tenants[1].HomeRegions, cfg.Routes[1].HomeRegions = c.tenant, c.route
+			},
+		})
+		answer := sys.do("GET", "/claims", nil, "Authorization", "Bearer key-1")
+		require.Equal(t, c.reason, answer.reason(), c)
+		if c.reason != "" {
+			require.Empty(t, sys.router.calls)
+			continue
+		}
+		for _, req := range sys.router.calls[len(sys.router.calls)-1:] {
+			if len(c.want) > 0 {
+				require.Equal(t, c.want, req.HomeRegions)
+			}
+		}
+		if len(c.want) == 0 {
+			require.Empty(t, regions)
+			continue
+		}
+		got, ok := gwforward.DecodeRegions(regions[0])
+		require.True(t, ok)
+		require.Equal(t, c.want, got)
+	}
+}
--- a/internal/request/gwforward/headers.go
+++ b/internal/request/gwforward/headers.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/textproto"
+	"net/url"
 	"slices"
 	"strconv"
 	"strings"
@@ -145,6 +146,28 @@
 	return name
 }
 
+// EncodeRegions returns names of regions as gw.HeaderRegions carries them: escaped, with commas between them.
+func EncodeRegions(regions []gw.RegionName) string {
+	names := make([]string, len(regions))
+	for i, r := range regions {
+		names[i] = url.PathEscape(string(r))
+	}
+	return strings.Join(names, ",")
+}
+
+// DecodeRegions returns the names that EncodeRegions has encoded, and false when the value is not valid.
+func DecodeRegions(value string) ([]gw.RegionName, bool) {
+	var regions []gw.RegionName
+	for text := range strings.SplitSeq(value, ",") {
+		name, err := url.PathUnescape(text)
+		if err != nil {
+			return nil, false
+		}
+		regions = append(regions, gw.RegionName(name))
+	}
+	return regions, true
+}
+
 // setHeader sets a header to one value. The name must be in canonical form.
 func setHeader(h http.Header, name, value string) {
 	h[name] = []string{value}
--- a/internal/request/gwforward/request.go
+++ b/internal/request/gwforward/request.go
@@ -25,6 +25,8 @@
 	Objective time.Time
 	Priority  int
 	NoWait    bool
+	// Regions are the only ones in which the request may be served, empty for all.
+	Regions []gw.RegionName
 
 	Method string
 	// URL has the path and the query of the request.
@@ -83,7 +85,7 @@
 }
 
 // addedHeaders is the largest number of headers that outgoing adds.
-const addedHeaders = 12
+const addedHeaders = 13
 
 // head returns the data about the attempt that is sent to the receiver.
 func (r *Request) head(left int64) gw.Attempt {
@@ -140,6 +142,9 @@
 		if r.NoWait {
 			setHeader(h, gw.HeaderNoWait, "true")
 		}
+		if len(r.Regions) > 0 {
+			setHeader(h, gw.HeaderRegions, EncodeRegions(r.Regions))
+		}
 		if r.CallerID != "" {
 			setHeader(h, gw.HeaderCallerID, r.CallerID)
 		}
--- a/internal/request/gwrelay/keys_test.go
+++ b/internal/request/gwrelay/keys_test.go
@@ -37,3 +37,17 @@
 		require.Equal(t, "harbour", got.Get(gw.HeaderTenant))
 	}
 }
+
+// Guards against a body that is read by a host in a region that the tenant or the route of the request excludes.
+func TestRelayEnforcesRegionsOfTenantAndRoute(t *testing.T) {
+	relay, _, _ := newRelay(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(gw.HeaderRequestID, r.Header.Get(gw.HeaderRequestID))
+	})
+	for regions, reason := range map[string]gw.Reason{
+		"holland": "", "friesland,holland": "", "friesland": gw.ReasonWrongRegion, "%": gw.ReasonBadRequest,
+	} {
+		w := httptest.NewRecorder()
+		relay.ServeHTTP(w, relayRequest("x", gw.HeaderRegions, regions))
+		require.Equal(t, string(reason), w.Header().Get(gw.HeaderReason), regions)
+	}
+}
--- a/internal/request/gwrelay/parse.go
+++ b/internal/request/gwrelay/parse.go
@@ -21,7 +21,7 @@
 	for _, name := range []string{
 		gw.HeaderRequestID, gw.HeaderOperationID, gw.HeaderTimeout, gw.HeaderPosition, gw.HeaderToken,
 		gw.HeaderServer, gw.HeaderTenant, gw.HeaderService, gw.HeaderRepeatable,
-		gw.HeaderObjective, gw.HeaderPriority, gw.HeaderNoWait, gw.HeaderCallerID,
+		gw.HeaderObjective, gw.HeaderPriority, gw.HeaderNoWait, gw.HeaderCallerID, gw.HeaderRegions,
 	} {
 		value, ok := gwforward.SingleValue(in.Header, name)
 		if !ok {
@@ -49,6 +49,12 @@
 		Deadline:   now.Add(time.Duration(left) * time.Millisecond),
 		Method:     in.Method, URL: in.URL, Host: in.Host, Header: in.Header,
 	}
+	if value := values[gw.HeaderRegions]; value != "" {
+		var ok bool
+		if req.Regions, ok = gwforward.DecodeRegions(value); !ok {
+			return bad("the regions of the request are not valid")
+		}
+	}
 	if refusal := parseUrgency(req, values, now); refusal != nil {
 		return nil, refusal
 	}
--- a/internal/request/gwrelay/relay.go
+++ b/internal/request/gwrelay/relay.go
@@ -279,8 +279,8 @@
 	gwforward.WriteRefusal(w, gwforward.NativeCallers{}, refusal)
 }
 
-// check repeats the check of the tenant's home regions at the host that would send the request to the server, and adds
-// the limits of the service to the request.
+// check repeats the check of the home regions of the tenant and of the route at the host that would send the request to
+// the server, and adds the limits of the service to the request.
 func (r *Relay) check(req *gwforward.Request) *gw.Refusal {
 	cfg := r.opts.Config()
 	service, ok := cfg.Service(req.Target.Service)
@@ -296,6 +296,11 @@
 		refusal.HomeRegions = tenant.HomeRegions
 		return refusal
 	}
+	if len(req.Regions) > 0 && !slices.Contains(req.Regions, r.opts.Region) {
+		refusal := gw.Refuse(gw.ReasonWrongRegion, "this host is not in a region in which the request may be served")
+		refusal.HomeRegions = req.Regions
+		return refusal
+	}
 	if cfg.KeysRequired {
 		// An entry host with an earlier configuration passes credentials on.
 		req.Header = gwforward.WithoutHeaders(req.Header, r.opts.Callers.IdentityHeaders())
--- a/internal/version/gwtable/router.go
+++ b/internal/version/gwtable/router.go
@@ -74,7 +74,8 @@
 	if !ok {
 		return gw.Target{}, gw.Refuse(gw.ReasonUnknownTenant, "the tenant is not configured")
 	}
-	if len(tenant.HomeRegions) > 0 && !slices.Contains(tenant.HomeRegions, r.region) {
+	// Where keys are required, the request names the regions in which it may be served, and may come from any.
+	if !s.Config.KeysRequired && len(tenant.HomeRegions) > 0 && !slices.Contains(tenant.HomeRegions, r.region) {
 		refusal := gw.Refuse(gw.ReasonWrongRegion, "the tenant is served in its home regions only")
 		refusal.HomeRegions = tenant.HomeRegions
 		return gw.Target{}, refusal
--- a/outcome.go
+++ b/outcome.go
@@ -57,6 +57,9 @@
 	HeaderConsent = "Gw-Consent"
 	// HeaderCallerID carries the caller's own id of the request between hosts, for their logs.
 	HeaderCallerID = "Gw-Caller-Id"
+	// HeaderRegions lists the regions in which the request may be served, from an entry host to a dispatcher, where keys
+	// are required and not all regions are permitted.
+	HeaderRegions = "Gw-Regions"
 	// HeaderHomeRegions lists the home regions of the tenant on a wrong-region refusal.
 	HeaderHomeRegions = "Gw-Home-Regions"
 )
