--- a/internal/request/gwforward/request.go
+++ b/internal/request/gwforward/request.go
@@ -27,6 +27,8 @@
 	NoWait    bool
 	// Class is the cost class of the request, empty when the service is not cost-aware.
 	Class gw.CostClass
+	// Regions are the only ones in which the request may be served, empty for all.
+	Regions []gw.RegionName
 
 	Method string
 	// URL has the path and the query of the request.
@@ -145,6 +147,9 @@
 		if r.Class != "" {
 			setHeader(h, gw.HeaderCostClass, EncodeName(string(r.Class)))
 		}
+		if len(r.Regions) > 0 {
+			setHeader(h, gw.HeaderRegions, EncodeRegions(r.Regions))
+		}
 		if r.CallerID != "" {
 			setHeader(h, gw.HeaderCallerID, r.CallerID)
 		}
--- a/internal/request/gwrelay/parse.go
+++ b/internal/request/gwrelay/parse.go
@@ -22,7 +22,7 @@
 		gw.HeaderRequestID, gw.HeaderOperationID, gw.HeaderTimeout, gw.HeaderPosition, gw.HeaderToken,
 		gw.HeaderServer, gw.HeaderTenant, gw.HeaderService, gw.HeaderRepeatable,
 		gw.HeaderObjective, gw.HeaderPriority, gw.HeaderNoWait, gw.HeaderCallerID,
-		gw.HeaderCostClass,
+		gw.HeaderCostClass, gw.HeaderRegions,
 	} {
 		value, ok := gwforward.SingleValue(in.Header, name)
 		if !ok {
@@ -51,6 +51,12 @@
 		Class:      gw.CostClass(gwforward.DecodeName(values[gw.HeaderCostClass])),
 		Method:     in.Method, URL: in.URL, Host: in.Host, Header: in.Header,
 	}
+	if value := values[gw.HeaderRegions]; value != "" {
+		var ok bool
+		if req.Regions, ok = gwforward.DecodeRegions(value); !ok {
+			return bad("the regions of the request are not valid")
+		}
+	}
 	if refusal := parseUrgency(req, values, now); refusal != nil {
 		return nil, refusal
 	}
