Native configuration files have callers' keys

Cause: the files decoded key-digests, priority, quota-per-second, quota-burst and public without any check, and could not say that keys are required.

Change: keys-required is a field of the site file. Digests are checked for their form and that each occurs once, and errors do not repeat a value that may be a key. Priorities and quotas are checked for their range, and a burst needs a quota.

After: all tests of gwconfig, gwpublish and cmd/geraniumctl pass.

--- a/cmd/geraniumctl/diff.go
+++ b/cmd/geraniumctl/diff.go
@@ -115,9 +115,13 @@
 	if err != nil {
 		return flat
 	}
-	data, err := json.Marshal(map[string]any{
+	values := map[string]any{
 		"regions": f.Regions, "teams": f.Teams, "tenants": f.Tenants, "service": f.Service, "routes": f.Routes,
-	})
+	}
+	if f.KeysRequired {
+		values["keys-required"] = true
+	}
+	data, err := json.Marshal(values)
 	var tree any
 	if err = eris.Wrap(err, "encode a file"); err != nil || json.Unmarshal(data, &tree) != nil {
 		return flat
--- a/internal/version/gwconfig/check.go
+++ b/internal/version/gwconfig/check.go
@@ -15,6 +15,7 @@
 	allowedName   = "1 to 63 lower-case letters, digits and hyphens, starting with a letter"
 	allowedHost   = "a lower-case host name without port"
 	allowedPrefix = "a path such as /lookups, without trailing slash, empty or dot segments, query or escapes"
+	allowedDigest = "64 hexadecimal digits in lower case, the SHA-256 digest of a key"
 	maxSegment    = 15
 	maxRate       = 1_000_000_000
 )
@@ -23,6 +24,7 @@
 	namePattern   = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
 	hostPattern   = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,251}[a-z0-9])?$`)
 	prefixPattern = regexp.MustCompile(`^/[A-Za-z0-9._~!$&'()*+,;=:@/-]*$`)
+	digestPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
 	tokenPattern  = regexp.MustCompile("^[A-Za-z0-9!#$%&'*+.^_`|~-]{1,100}$")
 	methods       = []string{"GET", "HEAD", "OPTIONS", "POST", "PUT", "PATCH", "DELETE"}
 )
@@ -93,14 +95,35 @@
 		if t.InFlight < 0 || t.InFlight > maxRate {
 			c.fail(at+".in-flight", fmt.Sprintf("is %d", t.InFlight), fmt.Sprintf("0 (no limit) to %d", maxRate))
 		}
+		c.tenantKeys(at, t)
+	}
+}
+
+// tenantKeys checks the keys, the priority and the quota of a tenant.
+func (c *checker) tenantKeys(at string, t gw.Tenant) {
+	for i, digest := range t.KeyDigests {
+		if !digestPattern.MatchString(digest) {
+			// What is given may be the key itself, so the error does not repeat it.
+			c.fail(fmt.Sprintf("%s.key-digests[%d]", at, i), "is not a digest", allowedDigest)
+		}
+	}
+	c.number(at+".priority", int64(t.Priority), 0, maxPriority)
+	if !(t.QuotaPerSecond >= 0 && t.QuotaPerSecond <= maxRate) {
+		c.fail(at+".quota-per-second", fmt.Sprintf("is %v", t.QuotaPerSecond), fmt.Sprintf("0 (no limit) to %d", maxRate))
+	}
+	switch {
+	case !(t.QuotaBurst >= 0 && t.QuotaBurst <= maxRate):
+		c.fail(at+".quota-burst", fmt.Sprintf("is %v", t.QuotaBurst), fmt.Sprintf("0 to %d", maxRate))
+	case t.QuotaBurst > 0 && t.QuotaPerSecond == 0:
+		c.fail(at+".quota-burst", "is given without quota-per-second", "a burst beside the quota that it extends")
 	}
 }
 
 func (c *checker) service() {
 	f := c.file
-	for _, field := range []string{"regions", "teams", "tenants"} {
+	for _, field := range []string{"regions", "teams", "tenants", "keys-required"} {
 		if f.has(field) {
-			c.fail(field, "is given in a service file", "regions, teams and tenants in the site file")
+			c.fail(field, "is given in a service file", "regions, teams, tenants and keys-required in the site file")
 		}
 	}
 	c.name("service.name", string(f.Service.Name))
--- a/internal/version/gwconfig/export_test.go
+++ b/internal/version/gwconfig/export_test.go
@@ -12,6 +12,7 @@
 // Patterns gives the published schema's test the patterns that the checks use.
 var Patterns = map[string]string{
 	"name": namePattern.String(), "host": hostPattern.String(), "path-prefix": prefixPattern.String(),
+	"key-digest": digestPattern.String(),
 }
 
 // Methods are the methods that a route may repeat.
--- a/internal/version/gwconfig/file.go
+++ b/internal/version/gwconfig/file.go
@@ -37,6 +37,8 @@
 	Tenants []gw.Tenant
 	Service *gw.Service
 	Routes  []gw.Route
+	// KeysRequired is a field of the site file.
+	KeysRequired bool
 
 	places map[string]int
 }
@@ -48,6 +50,8 @@
 	Tenants []gw.Tenant `json:"tenants,omitempty"`
 	Service *gw.Service `json:"service,omitempty"`
 	Routes  []gw.Route  `json:"routes,omitempty"`
+
+	KeysRequired bool `json:"keys-required,omitempty"`
 }
 
 // Site reports whether the file is a site file.
@@ -97,6 +101,7 @@
 	d.value("", tree, reflect.ValueOf(&doc).Elem())
 	f.Regions, f.Teams, f.Tenants = doc.Regions, doc.Teams, doc.Tenants
 	f.Service, f.Routes = doc.Service, doc.Routes
+	f.KeysRequired = doc.KeysRequired
 	for i := range f.Routes {
 		if f.Service != nil && !f.has(fmt.Sprintf("routes[%d].service", i)) {
 			f.Routes[i].Service = f.Service.Name
--- a/internal/version/gwconfig/gwconfig_test.go
+++ b/internal/version/gwconfig/gwconfig_test.go
@@ -179,3 +179,22 @@
 		require.Equal(t, file.Routes, again.Routes)
 	})
 }
+
+// Guards against a field for callers' keys that is lost between a file and the configuration.
+func TestKeysAreLoaded(t *testing.T) {
+	digest := strings.Repeat("0a", 32)
+	cfg, err := gwconfig.Load([]gwconfig.Source{
+		{Path: "site.json", Data: []byte(`{"regions": [{"name": "r", "data-centres": ["r-a"]}], "keys-required": true,
+			"teams": [{"name": "t", "contact": "c"}], "tenants": [{"name": "a", "team": "t", "priority": 2,
+			"quota-per-second": 9.5, "quota-burst": 20, "key-digests": ["` + digest + `"]}]}`)},
+		{Path: "s.json", Data: []byte(`{"service": {"name": "s", "team": "t", "divided-by-key": false, "regions": ["r"]},
+			"routes": [{"name": "p", "path-prefix": "/p", "public": true, "kind": "download"}]}`)},
+	})
+	require.NoError(t, err)
+	require.True(t, cfg.KeysRequired)
+	require.Equal(t, []gw.Tenant{{
+		Name: "a", Team: "t", Priority: 2, QuotaPerSecond: 9.5, QuotaBurst: 20, KeyDigests: []string{digest},
+	}}, cfg.Tenants)
+	require.True(t, cfg.Routes[0].Public)
+	require.Equal(t, gw.RouteDownload, cfg.Routes[0].Kind)
+}
--- a/internal/version/gwconfig/schema_test.go
+++ b/internal/version/gwconfig/schema_test.go
@@ -33,23 +33,31 @@
 
 // constraints adds to the fields what their Go types do not say.
 var constraints = map[string]map[string]any{
-	"Region.data-centres":              {"minItems": 1},
-	"Team.contact":                     {"minLength": 1, "maxLength": 200},
-	"Tenant.requests-per-second":       {"minimum": 0, "maximum": gwconfig.MaxRate, "default": 0},
-	"Tenant.in-flight":                 {"minimum": 0, "maximum": gwconfig.MaxRate, "default": 0},
+	"Region.data-centres":        {"minItems": 1},
+	"Team.contact":               {"minLength": 1, "maxLength": 200},
+	"Tenant.requests-per-second": {"minimum": 0, "maximum": gwconfig.MaxRate, "default": 0},
+	"Tenant.in-flight":           {"minimum": 0, "maximum": gwconfig.MaxRate, "default": 0},
+	"Tenant.key-digests": {
+		"uniqueItems": true, "items": map[string]any{"type": "string", "pattern": gwconfig.Patterns["key-digest"]},
+	},
+	"Tenant.priority":                  {"minimum": 0, "maximum": 100, "default": 0},
+	"Tenant.quota-per-second":          {"minimum": 0, "maximum": gwconfig.MaxRate, "default": 0},
+	"Tenant.quota-burst":               {"minimum": 0, "maximum": gwconfig.MaxRate, "default": 0},
 	"Tenant.home-regions":              {"uniqueItems": true},
 	"Service.regions":                  {"minItems": 1, "uniqueItems": true},
 	"Service.cold-requests-per-second": {"minimum": 0, "maximum": gwconfig.MaxRate, "default": 0},
 	"Service.warmup-milliseconds":      {"minimum": 0, "maximum": 600_000, "default": 0},
-	"Route.kind":                       {"enum": []gw.RouteKind{gw.RouteSafe, gw.RouteDownload, gw.RouteUnsafe, gw.RouteUpload}},
-	"Route.home-regions":               {"uniqueItems": true},
-	"Route.timeout-milliseconds":       {"minimum": 0, "maximum": 600_000, "default": 0},
-	"Route.objective-milliseconds":     {"minimum": 0, "maximum": 600_000, "default": 0},
-	"Route.attempts":                   {"minimum": 0, "maximum": 10, "default": 0},
-	"Route.priority":                   {"minimum": 0, "maximum": 100, "default": 0},
-	"WeightedService.weight":           {"minimum": 1, "maximum": 1_000_000},
-	"Route.host":                       {"pattern": gwconfig.Patterns["host"]},
-	"Route.path-prefix":                {"pattern": gwconfig.Patterns["path-prefix"]},
+	"Route.kind": {
+		"enum": []gw.RouteKind{gw.RouteSafe, gw.RouteDownload, gw.RouteUnsafe, gw.RouteUpload},
+	},
+	"Route.home-regions":           {"uniqueItems": true},
+	"Route.timeout-milliseconds":   {"minimum": 0, "maximum": 600_000, "default": 0},
+	"Route.objective-milliseconds": {"minimum": 0, "maximum": 600_000, "default": 0},
+	"Route.attempts":               {"minimum": 0, "maximum": 10, "default": 0},
+	"Route.priority":               {"minimum": 0, "maximum": 100, "default": 0},
+	"WeightedService.weight":       {"minimum": 1, "maximum": 1_000_000},
+	"Route.host":                   {"pattern": gwconfig.Patterns["host"]},
+	"Route.path-prefix":            {"pattern": gwconfig.Patterns["path-prefix"]},
 	"KeySource.from": {
 		"enum": []gw.KeySourceKind{gw.KeyFromPathSegment, gw.KeyFromHeader, gw.KeyFromQuery},
 	},
@@ -143,13 +151,15 @@
 		Tenants []gw.Tenant `json:"tenants"`
 		Service gw.Service  `json:"service"`
 		Routes  []gw.Route  `json:"routes"`
+
+		KeysRequired bool `json:"keys-required"`
 	}](), comments(t))
 	schema["$schema"] = "https://json-schema.org/draft/2020-12/schema"
 	schema["title"] = "geraniumworks configuration file: the site file or the file of one service"
 	schema["oneOf"] = []any{
 		map[string]any{"required": []string{"regions"}, "properties": map[string]any{"service": false, "routes": false}},
 		map[string]any{"required": []string{"service"}, "properties": map[string]any{
-			"regions": false, "teams": false, "tenants": false,
+			"regions": false, "teams": false, "tenants": false, "keys-required": false,
 		}},
 	}
 	want, err := json.MarshalIndent(schema, "", "  ")
--- a/internal/version/gwconfig/set.go
+++ b/internal/version/gwconfig/set.go
@@ -52,6 +52,7 @@
 		cfg.Regions = append(cfg.Regions, f.Regions...)
 		cfg.Teams = append(cfg.Teams, f.Teams...)
 		cfg.Tenants = append(cfg.Tenants, f.Tenants...)
+		cfg.KeysRequired = cfg.KeysRequired || f.KeysRequired
 		if f.Service != nil {
 			cfg.Services = append(cfg.Services, *f.Service)
 			cfg.Routes = append(cfg.Routes, f.Routes...)
@@ -189,6 +190,13 @@
 		}
 		for i, t := range f.Tenants {
 			c.define(f, "tenant", string(t.Name), fmt.Sprintf("tenants[%d].name", i))
+			for j, digest := range t.KeyDigests {
+				if !digestPattern.MatchString(digest) {
+					// It may be the key itself, which errors must not repeat.
+					continue
+				}
+				c.define(f, "key digest", digest, fmt.Sprintf("tenants[%d].key-digests[%d]", i, j))
+			}
 		}
 		if f.Service != nil {
 			c.define(f, "service", string(f.Service.Name), "service.name")
