gwcost, gwdispatch: requests do not queue for a server that hangs

Cause: a running request that takes longer than all recent ones was expected to end within its typical cost, however long it had run, and before the first answer all costs counted as nothing. Requests queued for a hanging server and were refused at the end of their time (1.2 s in the test).

--- a/internal/request/gwcost/ratios.go
+++ b/internal/request/gwcost/ratios.go
@@ -93,10 +93,18 @@
 	}
 	if total < 1 {
 		// Too few requests took longer for an estimate.
-		return residualDefault
+		if elapsed > hangRatio {
+			return elapsed
+		}
+		return minResidual
 	}
 	return sum / total
 }
 
-// residualDefault is the residual of a request that takes longer than any recent one, as a share of its expected cost.
-const residualDefault = 1.0
+const (
+	// minResidual is the residual of a request that takes longer than recent ones, as a share of its typical cost.
+	minResidual = 1.0
+	// hangRatio is the multiple of the typical cost from which on such a request seems to hang, and is expected to take as
+	// long again. Single requests have 5 to 7 times the usual work.
+	hangRatio = 8
+)
--- a/internal/request/gwcost/server.go
+++ b/internal/request/gwcost/server.go
@@ -96,7 +96,7 @@
 // longer, the mean residual of requests that did.
 func (s *Server) Residual(est Estimate, elapsed time.Duration) time.Duration {
 	if !est.Known() {
-		return 0
+		return elapsed
 	}
 	if elapsed < est.Mean {
 		return est.Mean - elapsed
--- a/internal/request/gwdispatch/costorder.go
+++ b/internal/request/gwdispatch/costorder.go
@@ -38,13 +38,24 @@
 	if s.cost == nil {
 		return est
 	}
-	r.cost = s.cost.Expect(now, r.Class)
+	r.cost = s.expect(now, r.Class)
 	if r.cost.Known() {
 		est.Mean, est.P50, est.MinRemaining = r.cost.Mean, r.cost.Median, r.cost.High
 	}
 	return est
 }
 
+// expect estimates the cost of a request. While nothing has been observed, it falls back to the smoothed service time or
+// the age of the oldest running request, so that requests do not queue up for a server that hangs from the start.
+func (s *serverState) expect(now time.Time, class gw.CostClass) gwcost.Estimate {
+	est := s.cost.Expect(now, class)
+	if !est.Known() {
+		est.Mean = max(s.serviceTime, s.oldest(now))
+		est.High = est.Mean
+	}
+	return est
+}
+
 // goal returns when the answer should be complete.
 func (r *request) goal() time.Time {
 	if r.Objective.IsZero() {
@@ -82,7 +93,7 @@
 		p.order = append(p.order, t.requests...)
 	}
 	for _, r := range p.order {
-		r.cost = s.cost.Expect(now, r.Class)
+		r.cost = s.expect(now, r.Class)
 	}
 	if extra != nil {
 		p.order = append(p.order, extra)
--- a/internal/request/gwdispatch/costorder_test.go
+++ b/internal/request/gwdispatch/costorder_test.go
@@ -272,6 +272,32 @@
 	}
 }
 
+// Failure: a server hangs, once from its first request on and once after a time. Guards against requests that wait
+// until their deadline because the running ones seem to be about to end.
+func TestHangingServerRefusesEarly(t *testing.T) {
+	for _, answers := range []int{0, 20} {
+		p := newReplay()
+		p.state.setCosts(gwcost.NewModel())
+		for range answers {
+			p.run(20, 50*ms, true)
+		}
+		p.ends, p.refused, p.refusedAfter = nil, 0, 0
+		for range 60 {
+			p.now = p.now.Add(50 * ms)
+			r := &request{SlotRequest: gw.SlotRequest{
+				Deadline: p.now.Add(replayDeadline), Objective: p.now.Add(replayObjective),
+			}}
+			if p.state.submit(p.now, r); r.state == stateRefused {
+				p.started(r)
+			}
+			p.state.advance(p.now)
+			p.handleDecided()
+			p.ends = nil
+		}
+		require.Less(t, p.refusedAfter/time.Duration(p.refused), replayObjective)
+	}
+}
+
 // Failure: a server was 50 times slower for a while. Guards against estimates that stay too high and keep an idle
 // server from getting work, and against a request that waits although it can only be refused.
 func TestServerRecoversFromSlowSpell(t *testing.T) {
--- a/internal/request/gwdispatch/order.go
+++ b/internal/request/gwdispatch/order.go
@@ -15,7 +15,7 @@
 // meetsObjective reports whether a request that starts at start and takes the time needed is answered before its
 // objective.
 func (r *request) meetsObjective(start time.Time, needed time.Duration) bool {
-	if r.cost.Known() {
+	if r.cost.High > 0 {
 		return r.canBeOnTime(start)
 	}
 	return r.Objective.IsZero() || !start.Add(needed).After(r.Objective)
