--- a/internal/connection/gwpeer/client.go
+++ b/internal/connection/gwpeer/client.go
@@ -17,9 +17,9 @@
 	"github.com/geraniumworks/geraniumworks/internal/connection/gwsocket"
 )
 
-// Client implements gw.Peer with two connections per address, opened at the first call: one for calls that are
-// answered at once, one for calls that wait. A call that times out closes its connection, and a waiting call must
-// not take a renewal with it.
+// Client implements gw.Peer with up to three connections per address, opened at the first call: one for calls that are
+// answered at once, one for calls that wait, one for quotas. A call that times out closes its connection, and neither a
+// waiting call nor one about quotas, which has a short timeout, must take a renewal with it.
 type Client struct {
 	tls      *tls.Config
 	counters counters
@@ -31,6 +31,7 @@
 type connKey struct {
 	address string
 	waiting bool
+	quota   bool
 }
 
 // waits reports whether the receiver may take its time to answer a method.
@@ -79,6 +80,11 @@
 	return call[gw.OfferReply](ctx, c, address, methodOffer, req)
 }
 
+// ShareQuota implements gw.Peer.
+func (c *Client) ShareQuota(ctx context.Context, address string, req gw.QuotaRequest) (gw.QuotaReply, error) {
+	return call[gw.QuotaReply](ctx, c, address, methodShareQuota, req)
+}
+
 // Close closes all connections.
 func (c *Client) Close() error {
 	c.mu.Lock()
@@ -95,7 +101,7 @@
 
 func call[R any](ctx context.Context, c *Client, address, method string, params any) (R, error) {
 	var reply R
-	key := connKey{address: address, waiting: waits(method)}
+	key := connKey{address: address, waiting: waits(method), quota: method == methodShareQuota}
 	conn, err := c.conn(ctx, key)
 	if err != nil {
 		c.counters.called(method, err)
--- a/internal/connection/gwpeer/roundtrip_test.go
+++ b/internal/connection/gwpeer/roundtrip_test.go
@@ -71,6 +71,10 @@
 	return exchange[gw.OfferReply](e, r), nil
 }
 
+func (e *echo) ShareQuota(_ context.Context, r gw.QuotaRequest) (gw.QuotaReply, error) {
+	return exchange[gw.QuotaReply](e, r), nil
+}
+
 // Guards against a message between hosts that is read as another one, or not at all, because of a value in it.
 func TestMessagesAreReadAsTheyAreSent(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -85,6 +89,7 @@
 	t.Run("release", func(t *testing.T) { checkExchange(t, e, listener, client.ReleaseDispatch) })
 	t.Run("pull", func(t *testing.T) { checkExchange(t, e, listener, client.Pull) })
 	t.Run("offer", func(t *testing.T) { checkExchange(t, e, listener, client.Offer) })
+	t.Run("share quota", func(t *testing.T) { checkExchange(t, e, listener, client.ShareQuota) })
 }
 
 func checkExchange[P, R any](
--- a/internal/connection/gwpeer/server.go
+++ b/internal/connection/gwpeer/server.go
@@ -22,6 +22,7 @@
 	ReleaseDispatch(ctx context.Context, release gw.DispatchRelease) (gw.DispatchStatus, error)
 	Pull(ctx context.Context, req gw.PullRequest) (gw.PullReply, error)
 	Offer(ctx context.Context, req gw.OfferRequest) (gw.OfferReply, error)
+	ShareQuota(ctx context.Context, req gw.QuotaRequest) (gw.QuotaReply, error)
 }
 
 // Server answers calls on a listener.
@@ -114,6 +115,8 @@
 		return serve(ctx, req, s.handler.Pull)
 	case methodOffer:
 		return serve(ctx, req, s.handler.Offer)
+	case methodShareQuota:
+		return serve(ctx, req, s.handler.ShareQuota)
 	default:
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method"}
 	}
--- a/internal/connection/gwpeer/wire.go
+++ b/internal/connection/gwpeer/wire.go
@@ -18,6 +18,7 @@
 	methodReleaseDispatch = "dispatch.release"
 	methodPull            = "feed.pull"
 	methodOffer           = "feed.offer"
+	methodShareQuota      = "quota.share"
 )
 
 // Error codes of refusals, in the range that JSON-RPC leaves to applications.
--- a/peer.go
+++ b/peer.go
@@ -225,6 +225,42 @@
 	Missing []Topic `json:"missing,omitempty"`
 }
 
+// QuotaAsk asks a coordinator for tokens of a tenant's quota.
+type QuotaAsk struct {
+	Tenant TenantName `json:"tenant"`
+	Tokens int        `json:"tokens,omitempty"`
+	// Returned is the number of tokens lent earlier that were not used before their deadline.
+	Returned int `json:"returned,omitempty"`
+}
+
+// QuotaHandover passes a tenant's unspent tokens on to the next coordinator. The sender lends none of them any more.
+type QuotaHandover struct {
+	Tenant TenantName `json:"tenant"`
+	Tokens float64    `json:"tokens"`
+}
+
+// QuotaRequest asks a coordinator for tokens. Without asks and handovers it checks that the receiver can be reached.
+type QuotaRequest struct {
+	Host      HostName        `json:"host"`
+	Asks      []QuotaAsk      `json:"asks,omitempty"`
+	Handovers []QuotaHandover `json:"handovers,omitempty"`
+}
+
+// QuotaGrant lends tokens of a tenant's quota, until a deadline that the receiver counts from its request.
+type QuotaGrant struct {
+	Tenant TenantName `json:"tenant"`
+	Tokens int        `json:"tokens,omitempty"`
+	// WaitMilliseconds is when further tokens are expected, set when fewer were lent than asked for.
+	WaitMilliseconds int64 `json:"wait-milliseconds,omitempty"`
+	// Coordinator is the host to ask instead, empty when it is the receiver.
+	Coordinator HostName `json:"coordinator,omitempty"`
+}
+
+// QuotaReply answers a QuotaRequest.
+type QuotaReply struct {
+	Grants []QuotaGrant `json:"grants,omitempty"`
+}
+
 // Peer sends messages to other hosts, each addressed by its peer address.
 //
 // A refusal is returned as ErrStaleEpoch, ErrStaleRevision, ErrOtherInstance or ErrPastDeadline, together with a
@@ -236,4 +272,5 @@
 	ReleaseDispatch(ctx context.Context, address string, release DispatchRelease) (DispatchStatus, error)
 	Pull(ctx context.Context, address string, req PullRequest) (PullReply, error)
 	Offer(ctx context.Context, address string, req OfferRequest) (OfferReply, error)
+	ShareQuota(ctx context.Context, address string, req QuotaRequest) (QuotaReply, error)
 }
