gwhost, gwentry: requests of tenants with a quota take a token

Cause: gwquota was not used. Change: the handler asks the quota before its admission control and returns the token of a request that no server has run. The host runs the loop, applies configurations to it and hands over at a planned stop. Seen: tests of gwhost, gwentry, gwpeer and cmd/geraniumworks pass.

--- a/internal/process/gwhost/host.go
+++ b/internal/process/gwhost/host.go
@@ -20,6 +20,7 @@
 	"github.com/geraniumworks/geraniumworks/internal/process/gwadmin"
 	"github.com/geraniumworks/geraniumworks/internal/process/gwcontrol"
 	"github.com/geraniumworks/geraniumworks/internal/process/gwmembers"
+	"github.com/geraniumworks/geraniumworks/internal/process/gwquota"
 	"github.com/geraniumworks/geraniumworks/internal/process/gwreach"
 	"github.com/geraniumworks/geraniumworks/internal/process/gwsettings"
 	"github.com/geraniumworks/geraniumworks/internal/request/gwadmit"
@@ -53,6 +54,7 @@
 	feed         *gwfeed.Feed
 	dispatcher   *gwdispatch.Dispatcher
 	admitter     *gwadmit.Admitter
+	quota        *gwquota.Loop
 	relay        *gwrelay.Relay
 	pools        []*gwpool.Pool
 	entry        *gwentry.Handler
@@ -148,6 +150,8 @@
 	config := h.configInForce
 	h.dispatcher = gwdispatch.New(gwdispatch.WithInstance(h.instance), gwdispatch.WithRegisterer(h.registry))
 	h.admitter = gwadmit.New(gwadmit.WithRegisterer(h.registry))
+	h.quota = gwquota.New(h.self, gwquota.WithPeer(h.client), gwquota.WithListing(h.members.Listing),
+		gwquota.WithLogger(h.log), gwquota.WithRegisterer(h.registry))
 	h.reach = gwreach.New(gwreach.WithOnChange(h.reachChanged))
 	h.relay = gwrelay.New(
 		gwrelay.WithDispatcher(h.dispatcher),
@@ -178,6 +182,7 @@
 		gwentry.WithRegion(h.self.Region),
 		gwentry.WithLocal(h.relay),
 		gwentry.WithAdmission(admissionAdapter{h.admitter}),
+		gwentry.WithQuota(h.quota),
 		gwentry.WithObserver(chooser),
 		gwentry.WithLeaving(h.members.ReportLeaving),
 		gwentry.WithCallerProtocol(h.backend.CallerProtocol),
@@ -258,6 +263,7 @@
 		cfg := h.table.State().Config
 		h.dispatcher.SetConfig(cfg)
 		h.admitter.SetConfig(cfg)
+		h.quota.SetConfig(cfg)
 		h.outOfService.update(cfg)
 		h.log.Info("configuration in force", slog.Uint64("version", uint64(cfg.Version)),
 			slog.String("label", cfg.Label))
--- a/internal/process/gwhost/peers.go
+++ b/internal/process/gwhost/peers.go
@@ -5,6 +5,7 @@
 
 	gw "github.com/geraniumworks/geraniumworks"
 	"github.com/geraniumworks/geraniumworks/internal/process/gwcontrol"
+	"github.com/geraniumworks/geraniumworks/internal/process/gwquota"
 	"github.com/geraniumworks/geraniumworks/internal/request/gwdispatch"
 	"github.com/geraniumworks/geraniumworks/internal/version/gwfeed"
 )
@@ -14,6 +15,7 @@
 	control    *gwcontrol.Loop
 	dispatcher *gwdispatch.Dispatcher
 	feed       *gwfeed.Feed
+	quota      *gwquota.Loop
 }
 
 // Probe implements gwpeer.Handler.
@@ -45,3 +47,8 @@
 func (p *peerHandler) Offer(_ context.Context, req gw.OfferRequest) (gw.OfferReply, error) {
 	return p.feed.Accept(req)
 }
+
+// ShareQuota implements gwpeer.Handler.
+func (p *peerHandler) ShareQuota(ctx context.Context, req gw.QuotaRequest) (gw.QuotaReply, error) {
+	return p.quota.ShareQuota(ctx, req)
+}
--- a/internal/process/gwhost/run.go
+++ b/internal/process/gwhost/run.go
@@ -42,6 +42,7 @@
 	addLoop(&group, h.feed.Run)
 	addLoop(&group, h.reach.Run)
 	addLoop(&group, h.control.Run)
+	addLoop(&group, h.quota.Run)
 	for _, pool := range h.pools {
 		addLoop(&group, pool.Run)
 	}
@@ -114,7 +115,7 @@
 	if h.tls != nil {
 		options = append(options, gwpeer.WithServerTLS(h.tls))
 	}
-	handler := &peerHandler{control: h.control, dispatcher: h.dispatcher, feed: h.feed}
+	handler := &peerHandler{control: h.control, dispatcher: h.dispatcher, feed: h.feed, quota: h.quota}
 	server := gwpeer.NewServer(handler, options...)
 	addLoop(group, func(ctx context.Context) error { return server.Serve(ctx, listener) })
 }
--- a/internal/process/gwhost/stop.go
+++ b/internal/process/gwhost/stop.go
@@ -43,6 +43,7 @@
 	h.stopping.Store(true)
 	h.log.Info("planned stop begins")
 	h.dispatcher.SetStopping()
+	h.quota.Stop()
 	if h.backend.Leave != nil {
 		h.backend.Leave()
 	}
--- a/internal/request/gwentry/call.go
+++ b/internal/request/gwentry/call.go
@@ -49,6 +49,8 @@
 	// unknownRefusal is the last refusal with an unknown outcome. Once an attempt may have run, no later refusal may
 	// report the request as not-run.
 	unknownRefusal *gw.Refusal
+	// giveBack returns the request's token of the tenant's quota, nil when it has none.
+	giveBack func()
 	// cleanup holds functions that release the resources of attempts. They run after the answer was passed on.
 	cleanup []func()
 }
--- a/internal/request/gwentry/handler.go
+++ b/internal/request/gwentry/handler.go
@@ -154,6 +154,7 @@
 // serve runs an admitted request.
 func (h *Handler) serve(w http.ResponseWriter, c *call) {
 	if refusal := c.readBody(); refusal != nil {
+		c.giveBackUnsent(refusal)
 		c.logEnd(refusal, 0)
 		h.refuse(w, c.rc, true, refusal)
 		return
@@ -172,7 +173,9 @@
 	defer detach()
 	c.retries = h.opts.Policy.Service(c.service.Name)
 	c.retries.AddRequest(c.service.Limits)
-	return c.run(ctx)
+	answer, refusal := c.run(ctx)
+	c.giveBackUnsent(refusal)
+	return answer, refusal
 }
 
 // write passes the answer of a call on, or its refusal.
@@ -200,10 +203,15 @@
 }
 
 func (h *Handler) admit(ctx context.Context, c *call) (func(), *gw.Refusal) {
+	if refusal := c.takeToken(ctx); refusal != nil {
+		return nil, refusal
+	}
 	if h.opts.Admission == nil {
 		return func() {}, nil
 	}
-	return h.opts.Admission.Admit(ctx, c.tenant, c.service.Name)
+	leave, refusal := h.opts.Admission.Admit(ctx, c.tenant, c.service.Name)
+	c.giveBackUnsent(refusal)
+	return leave, refusal
 }
 
 // refuse writes a refusal. When the body is not fully read, the connection is closed, so that the refusal is sent
--- a/internal/request/gwentry/options.go
+++ b/internal/request/gwentry/options.go
@@ -32,6 +32,13 @@
 	Admit(ctx context.Context, tenant gw.Tenant, service gw.ServiceName) (release func(), refusal *gw.Refusal)
 }
 
+// Quota limits the requests of tenants over all hosts together.
+type Quota interface {
+	// Admit may wait shortly for a token. It returns a function to be called when the request was never sent, or a refusal
+	// with gw.ReasonTenantLimit.
+	Admit(ctx context.Context, tenant gw.Tenant) (giveBack func(), refusal *gw.Refusal)
+}
+
 // Observer is told how attempts end, so that the choice of servers can take it into account.
 type Observer interface {
 	// Begin is called before an attempt. The returned function is called once at the end of the attempt: with a refusal
@@ -46,6 +53,7 @@
 	Region           gw.RegionName
 	Local            Deliverer
 	Admission        Admission
+	Quota            Quota
 	Observer         Observer
 	Leaving          func(gw.ServerName, gw.Incarnation)
 	Forwarder        *gwforward.Forwarder
@@ -86,6 +94,11 @@
 	return func(o *Options) { o.Admission = a }
 }
 
+// WithQuota sets the quotas of tenants. By default there are none.
+func WithQuota(q Quota) Option {
+	return func(o *Options) { o.Quota = q }
+}
+
 // WithObserver sets the observer of attempts. By default there is none.
 func WithObserver(o Observer) Option {
 	return func(opts *Options) { opts.Observer = o }
