gwquota: a coordinator that starts again asks the others whether they lend

Cause: a restarted coordinator lent nothing for 3.5 s, in case another host still lent. Change: it claims its tenants from the next seven hosts of their order. It begins when all have agreed; a host that has lent in its place hands over what is left. A host that stood in and becomes the first goes on.

--- a/internal/process/gwquota/contacts.go
+++ b/internal/process/gwquota/contacts.go
@@ -103,6 +103,16 @@
 	return time.Time{}
 }
 
+// lostSince reports whether a host has vanished from the list since a time, without leaving.
+func (c *contacts) lostSince(since time.Time) bool {
+	for _, h := range c.hosts {
+		if !h.listed && h.seen.After(since) {
+			return true
+		}
+	}
+	return false
+}
+
 // heardFrom records a message of a host. Hosts that are not listed do not count.
 func (c *contacts) heardFrom(now time.Time, name gw.HostName) {
 	h := c.hosts[name]
--- a/internal/process/gwquota/ledger.go
+++ b/internal/process/gwquota/ledger.go
@@ -37,6 +37,10 @@
 	// is not, since the one before it has handed over.
 	first bool
 	taken time.Time
+	// agreed is when the other hosts of the order last said that they do not lend.
+	agreed map[gw.HostName]time.Time
+	// claimed are the tokens that they had left.
+	claimed float64
 	// givenTo is the host that this one has handed over to, until givenUntil.
 	givenTo    gw.HostName
 	givenUntil time.Time
@@ -120,7 +124,8 @@
 			l.buckets[name] = &bucket{first: true, at: begin, start: begin}
 		case first && !b.first:
 			b.first = true
-			if !now.Before(b.taken) {
+			// A host that has lent in place of the one before goes on.
+			if !now.Before(b.taken) && (b.standIn.IsZero() || now.Before(b.start)) {
 				b.tokens, b.at, b.start = 0, now, begin
 			}
 		case !first && b != nil && b.first && len(order) > 0:
@@ -136,13 +141,83 @@
 	return handovers
 }
 
+// Claims returns the tenants that this host is to lend to as the first, by the hosts that must not have lent to them.
+// There are none while a host that has vanished from the list may still lend.
+func (l *Ledger) Claims(now time.Time) map[gw.HostName][]gw.TenantName {
+	claims := map[gw.HostName][]gw.TenantName{}
+	if l.stopped || l.contacts.lostSince(now.Add(-2*grace)) {
+		return claims
+	}
+	for name, b := range l.buckets {
+		if b.first && now.Before(b.start) {
+			l.beginIfAgreed(now, l.orders[name], b)
+			for _, other := range l.orders[name][1:] {
+				claims[other] = append(claims[other], name)
+			}
+		}
+	}
+	return claims
+}
+
+// Claimed applies the answer of a host to a message with claims.
+func (l *Ledger) Claimed(now time.Time, host gw.HostName, claimed []gw.QuotaHandover) {
+	for _, h := range claimed[:min(len(claimed), maxAsks)] {
+		t, ok := l.tenants[h.Tenant]
+		b := l.buckets[h.Tenant]
+		if !ok || b == nil || !b.first || !now.Before(b.start) {
+			continue
+		}
+		if b.agreed == nil {
+			b.agreed = map[gw.HostName]time.Time{}
+		}
+		b.agreed[host] = now
+		// Tokens count once lending begins.
+		b.claimed = max(b.claimed, bounded(h.Tokens, depth(t)))
+		l.beginIfAgreed(now, l.orders[h.Tenant], b)
+	}
+}
+
+// beginIfAgreed begins to lend when all other hosts of the order have agreed lately.
+func (l *Ledger) beginIfAgreed(now time.Time, order []gw.HostName, b *bucket) {
+	for _, other := range order[1:] {
+		if at, ok := b.agreed[other]; !ok || now.Sub(at) > grace {
+			return
+		}
+	}
+	b.tokens, b.at, b.start = b.claimed, now, now
+	b.claimed, b.agreed = 0, nil
+}
+
+// agree answers the claim of a host. It ends the lending of this host, unless the claiming host is not the first here.
+func (l *Ledger) agree(now time.Time, host gw.HostName, t gw.Tenant) (gw.QuotaHandover, bool) {
+	order := l.orders[t.Name]
+	if len(order) == 0 || order[0] != host || l.stopped {
+		return gw.QuotaHandover{}, false
+	}
+	handover := gw.QuotaHandover{Tenant: t.Name}
+	if b := l.buckets[t.Name]; b != nil && !now.Before(b.start) {
+		l.accrue(now, t, b)
+		handover.Tokens = b.tokens
+		*b = bucket{at: now, start: now.Add(grace), givenTo: host, givenUntil: now.Add(standInMemory)}
+	}
+	return handover, true
+}
+
+// bounded returns a number of tokens that a host has sent, within the depth of the bucket.
+func bounded(tokens, depth float64) float64 {
+	if math.IsNaN(tokens) {
+		return 0
+	}
+	return min(max(tokens, 0), depth)
+}
+
 // Tick notes the passing of time. It returns hosts to be sent an empty message, in order to tell whether they can be
 // reached; there are none while no tenant is active.
 func (l *Ledger) Tick(now time.Time) []gw.HostName {
 	if !l.ticked.IsZero() && now.Sub(l.ticked) > frozenAfter {
 		l.contacts.reset()
 		for _, b := range l.buckets {
-			b.tokens, b.at, b.start, b.standIn, b.taken = 0, now, now.Add(grace), time.Time{}, time.Time{}
+			*b = bucket{first: b.first, at: now, start: now.Add(grace), asked: b.asked}
 		}
 	}
 	l.ticked = now
@@ -171,6 +246,19 @@
 	l.contacts.heardFrom(now, host)
 }
 
+// Answer answers a message.
+func (l *Ledger) Answer(now time.Time, req gw.QuotaRequest) gw.QuotaReply {
+	reply := gw.QuotaReply{Grants: l.Ask(now, req)}
+	for _, name := range req.Claims[:min(len(req.Claims), maxAsks)] {
+		if t, ok := l.tenants[name]; ok {
+			if handover, agreed := l.agree(now, req.Host, t); agreed {
+				reply.Claimed = append(reply.Claimed, handover)
+			}
+		}
+	}
+	return reply
+}
+
 // Ask answers a host that asks for tokens. Numbers out of range count as the nearest in range; tenants without a quota
 // and asks beyond maxAsks get no answer.
 func (l *Ledger) Ask(now time.Time, req gw.QuotaRequest) []gw.QuotaGrant {
@@ -201,10 +289,7 @@
 	if l.stopped || !b.start.After(now) && l.coordinates(now, b) {
 		return
 	}
-	if math.IsNaN(tokens) {
-		tokens = 0
-	}
-	b.tokens, b.at, b.start = min(max(tokens, 0), depth(t)), now, now
+	b.tokens, b.at, b.start = bounded(tokens, depth(t)), now, now
 	b.taken, b.givenTo, b.standIn = now.Add(2*standInMemory), "", time.Time{}
 }
 
--- a/internal/process/gwquota/loop.go
+++ b/internal/process/gwquota/loop.go
@@ -310,11 +310,11 @@
 
 // ask asks this host's ledger. The caller holds mu.
 func (l *Loop) ask(now time.Time, req gw.QuotaRequest) gw.QuotaReply {
-	grants := l.ledger.Ask(now, req)
-	for _, g := range grants {
+	reply := l.ledger.Answer(now, req)
+	for _, g := range reply.Grants {
 		l.metrics.lent.Add(float64(g.Tokens))
 	}
-	return gw.QuotaReply{Grants: grants}
+	return reply
 }
 
 // apply applies the answer to asks. The caller holds mu.
@@ -387,9 +387,16 @@
 	now := time.Now()
 	l.applyListing(now)
 	started := 0
-	for _, name := range l.ledger.Tick(now) {
+	names := l.ledger.Tick(now)
+	claims := l.ledger.Claims(now)
+	for name := range claims {
+		if !slices.Contains(names, name) {
+			names = append(names, name)
+		}
+	}
+	for _, name := range names {
 		if h, ok := l.hosts[name]; ok {
-			l.call(ctx, h, gw.QuotaRequest{Host: l.self.Name}, true)
+			l.call(ctx, h, gw.QuotaRequest{Host: l.self.Name, Claims: claims[name]}, true)
 			started++
 		}
 	}
@@ -530,6 +537,7 @@
 		result = "failed"
 	} else {
 		l.ledger.Heard(now, r.host)
+		l.ledger.Claimed(now, r.host, r.reply.Claimed)
 	}
 	l.metrics.messages.WithLabelValues(kind, result).Inc()
 	if r.check {
--- a/peer.go
+++ b/peer.go
@@ -244,6 +244,8 @@
 	Host      HostName        `json:"host"`
 	Asks      []QuotaAsk      `json:"asks,omitempty"`
 	Handovers []QuotaHandover `json:"handovers,omitempty"`
+	// Claims are tenants that the sender coordinates as soon as no other host lends their tokens.
+	Claims []TenantName `json:"claims,omitempty"`
 }
 
 // QuotaGrant lends tokens of a tenant's quota, until a deadline that the receiver counts from its request.
@@ -259,6 +261,9 @@
 // QuotaReply answers a QuotaRequest.
 type QuotaReply struct {
 	Grants []QuotaGrant `json:"grants,omitempty"`
+	// Claimed are those of the request's claims whose tokens the receiver does not lend, or no longer lends, with what it
+	// has left.
+	Claimed []QuotaHandover `json:"claimed,omitempty"`
 }
 
 // Peer sends messages to other hosts, each addressed by its peer address.
