gwquota, gwentry: tests of failures, odd messages and tokens given back

Cause: no test covered a frozen coordinator, odd input, changed quotas, or which requests keep their token. Change: these tests; a data centre that cannot reach the coordinator is served by the next one; coordinators check silent data centres after 400 ms instead of 200 ms, since most messages of tenants with few requests were checks.

--- a/internal/process/gwquota/cluster_test.go
+++ b/internal/process/gwquota/cluster_test.go
@@ -28,7 +28,9 @@
 	// cut reports whether two hosts cannot reach each other, lost the share of messages that are lost.
 	cut  func(x, y gw.HostEntry) bool
 	lost float64
+	// rand draws the load, dice which messages are lost; each has one user at a time.
 	rand *rand.Rand
+	dice *rand.Rand
 	// version is the number of the listing, listing what the hosts in a data centre see.
 	version  uint64
 	messages int
@@ -46,7 +48,7 @@
 
 func newCluster(t *testing.T, hosts int, seed uint64, tenants ...gw.Tenant) *cluster {
 	c := &cluster{
-		t: t, tenants: tenants, nodes: map[gw.HostName]*node{}, rand: rand.New(rand.NewPCG(seed, seed)),
+		t: t, tenants: tenants, nodes: map[gw.HostName]*node{}, rand: rand.New(rand.NewPCG(seed, seed)), dice: rand.New(rand.NewPCG(seed, 0)),
 		cut: func(gw.HostEntry, gw.HostEntry) bool { return false }, version: 1,
 		admitted: map[gw.TenantName][]time.Time{}, refused: map[gw.TenantName]int{},
 	}
@@ -129,7 +131,9 @@
 }
 
 // load makes requests at random hosts for a time, at a rate that changes with the time, in lumps.
-func (c *cluster) load(tenant gw.Tenant, d time.Duration, lump int, rate func(time.Duration) float64, at []gw.HostName) {
+func (c *cluster) load(
+	tenant gw.Tenant, d time.Duration, lump int, rate func(time.Duration) float64, at []gw.HostName,
+) {
 	start := time.Now()
 	for time.Since(start) < d {
 		time.Sleep(time.Duration(c.rand.ExpFloat64() * float64(lump) / rate(time.Since(start)) * float64(time.Second)))
@@ -141,6 +145,14 @@
 	time.Sleep(time.Second)
 }
 
+// setTenants applies a configuration at all hosts.
+func (c *cluster) setTenants(tenants ...gw.Tenant) {
+	c.tenants = tenants
+	for _, name := range c.names() {
+		c.node(name).loop.SetConfig(gw.Config{Tenants: tenants})
+	}
+}
+
 func (c *cluster) names() []gw.HostName {
 	var names []gw.HostName
 	for _, e := range c.entries {
@@ -174,7 +186,7 @@
 func (l link) ShareQuota(ctx context.Context, address string, req gw.QuotaRequest) (gw.QuotaReply, error) {
 	l.c.mu.Lock()
 	l.c.messages++
-	n, lost := l.c.nodes[gw.HostName(address)], [2]bool{l.c.rand.Float64() < l.c.lost, l.c.rand.Float64() < l.c.lost}
+	n, lost := l.c.nodes[gw.HostName(address)], [2]bool{l.c.dice.Float64() < l.c.lost, l.c.dice.Float64() < l.c.lost}
 	delay := time.Millisecond
 	if n != nil && n.entry.Region != l.from.Region {
 		delay = 20 * time.Millisecond
--- a/internal/process/gwquota/contacts.go
+++ b/internal/process/gwquota/contacts.go
@@ -19,6 +19,13 @@
 	listed bool
 	// since is when the host was first listed, seen when it was last listed, heard when it last sent a message.
 	since, seen, heard time.Time
+	// cuts are the data centres that the host said it cannot reach.
+	cuts []gw.DataCentreName
+}
+
+// near reports whether this host has just heard from the other one.
+func (h *knownHost) near(now time.Time) bool {
+	return !h.heard.IsZero() && now.Sub(h.heard) < checkTimeout
 }
 
 type site struct {
@@ -190,6 +197,17 @@
 	}
 }
 
+// cutSites returns the data centres that cannot be reached.
+func (c *contacts) cutSites() []gw.DataCentreName {
+	var cut []gw.DataCentreName
+	for dc, s := range c.sites {
+		if s.cut && s.back.IsZero() {
+			cut = append(cut, dc)
+		}
+	}
+	return cut
+}
+
 // reset forgets unanswered checks after this host was frozen.
 func (c *contacts) reset() {
 	for _, s := range c.sites {
--- a/internal/process/gwquota/failure_test.go
+++ b/internal/process/gwquota/failure_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -64,6 +65,36 @@
 	require.GreaterOrEqual(t, len(c.admitted["a"]), 1200, "both sides go on")
 }
 
+// Guards against a data centre that gets nothing because it cannot reach the coordinator, although others reach both.
+func TestDataCentreThatCannotReachTheCoordinator(t *testing.T) {
+	for _, multiple := range []float64{0.15, 7.5} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(t, 20, 1, failing)
+			time.Sleep(5 * time.Second)
+			first := c.node(c.coordinator(failing)).entry
+			var there []gw.HostName
+			for _, e := range c.entries {
+				if e.Region != first.Region && (len(there) == 0 || e.DataCentre == c.node(there[0]).entry.DataCentre) {
+					there = append(there, e.Name)
+				}
+			}
+			far := c.node(there[0]).entry.DataCentre
+			c.setCut(func(x, y gw.HostEntry) bool {
+				return x.DataCentre == far && y.DataCentre == first.DataCentre ||
+					y.DataCentre == far && x.DataCentre == first.DataCentre
+			})
+			if multiple > 1 {
+				there = c.names()
+			}
+			c.load(failing, 20*time.Second, 1, steady(multiple*failing.QuotaPerSecond), there)
+			c.close()
+			most := c.checkRule(failing)
+			t.Logf("admitted %d, refused %d, fullest 5 s %d", len(c.admitted["a"]), c.refused["a"], most)
+			require.GreaterOrEqual(t, len(c.admitted["a"]), 120)
+		})
+	}
+}
+
 // Guards against a side of a cut that takes the whole quota once the host list has dropped the other side.
 func TestHostsThatVanishedFromTheListStillCount(t *testing.T) {
 	for _, region := range []gw.RegionName{"r0", "r1"} {
@@ -110,7 +141,7 @@
 		name := c.coordinator(failing)
 		c.node(name).loop.Stop()
 		time.Sleep(time.Second)
-		left := c.entries
+		left := slices.Clone(c.entries)
 		for i := range left {
 			if left[i].Name == name {
 				left[i].State = gw.EntryLeaving
--- a/internal/process/gwquota/ledger.go
+++ b/internal/process/gwquota/ledger.go
@@ -128,7 +128,9 @@
 			if !now.Before(b.taken) && (b.standIn.IsZero() || now.Before(b.start)) {
 				b.tokens, b.at, b.start = 0, now, begin
 			}
-		case !first && b != nil && b.first && len(order) > 0:
+		case !first && b != nil && b.first && len(order) == 0:
+			delete(l.buckets, name)
+		case !first && b != nil && b.first:
 			l.accrue(now, t, b)
 			byHost[order[0]] = append(byHost[order[0]], gw.QuotaHandover{Tenant: name, Tokens: b.tokens})
 			*b = bucket{at: now, start: now.Add(grace), givenTo: order[0], givenUntil: now.Add(standInMemory)}
@@ -159,9 +161,13 @@
 	return claims
 }
 
-// Claimed applies the answer of a host to a message with claims.
-func (l *Ledger) Claimed(now time.Time, host gw.HostName, claimed []gw.QuotaHandover) {
-	for _, h := range claimed[:min(len(claimed), maxAsks)] {
+// Answered applies what the answer of a host says about that host.
+func (l *Ledger) Answered(now time.Time, host gw.HostName, reply gw.QuotaReply) {
+	l.contacts.heardFrom(now, host)
+	if h := l.contacts.hosts[host]; h != nil {
+		h.cuts = reply.Cut[:min(len(reply.Cut), maxAsks)]
+	}
+	for _, h := range reply.Claimed[:min(len(reply.Claimed), maxAsks)] {
 		t, ok := l.tenants[h.Tenant]
 		b := l.buckets[h.Tenant]
 		if !ok || b == nil || !b.first || !now.Before(b.start) {
@@ -211,9 +217,9 @@
 	return min(max(tokens, 0), depth)
 }
 
-// Tick notes the passing of time. It returns hosts to be sent an empty message, in order to tell whether they can be
-// reached; there are none while no tenant is active.
-func (l *Ledger) Tick(now time.Time) []gw.HostName {
+// Tick notes the passing of time. It returns the hosts to be sent a message with the given asks, which may be none, in
+// order to tell whether they can be reached. No tenant is active if it is empty.
+func (l *Ledger) Tick(now time.Time) map[gw.HostName][]gw.QuotaAsk {
 	if !l.ticked.IsZero() && now.Sub(l.ticked) > frozenAfter {
 		l.contacts.reset()
 		for _, b := range l.buckets {
@@ -222,33 +228,39 @@
 	}
 	l.ticked = now
 	l.contacts.update(now)
+	checks := map[gw.HostName][]gw.QuotaAsk{}
 	active := false
-	var names []gw.HostName
 	for name, b := range l.buckets {
 		if b.asked.IsZero() || now.Sub(b.asked) > activeFor {
 			continue
 		}
 		if l.coordinates(now, b) {
 			active = true
-		} else if earlier, ok := l.earlier(name); ok && !b.standIn.IsZero() {
-			names = append(names, earlier...)
+			continue
+		}
+		earlier, ok := l.earlier(name)
+		if !ok || b.standIn.IsZero() {
+			continue
+		}
+		for i, host := range earlier {
+			checks[host] = append(checks[host], []gw.QuotaAsk{}...)
+			if i == 0 {
+				// The coordinator checks contact only for tenants that are active there.
+				checks[host] = append(checks[host], gw.QuotaAsk{Tenant: name})
+			}
 		}
 	}
 	if active {
-		names = append(names, l.contacts.checks(now)...)
+		for _, host := range l.contacts.checks(now) {
+			checks[host] = append(checks[host], []gw.QuotaAsk{}...)
+		}
 	}
-	slices.Sort(names)
-	return slices.Compact(names)
-}
-
-// Heard records a message or an answer of a host.
-func (l *Ledger) Heard(now time.Time, host gw.HostName) {
-	l.contacts.heardFrom(now, host)
+	return checks
 }
 
 // Answer answers a message.
 func (l *Ledger) Answer(now time.Time, req gw.QuotaRequest) gw.QuotaReply {
-	reply := gw.QuotaReply{Grants: l.Ask(now, req)}
+	reply := gw.QuotaReply{Grants: l.Ask(now, req), Cut: l.contacts.cutSites()}
 	for _, name := range req.Claims[:min(len(req.Claims), maxAsks)] {
 		if t, ok := l.tenants[name]; ok {
 			if handover, agreed := l.agree(now, req.Host, t); agreed {
@@ -322,10 +334,10 @@
 	b.lent *= math.Exp(-past / standInMemory.Seconds())
 	b.missing *= math.Exp(-past / missingTime.Seconds())
 	b.countedAt = now
-	returned := min(float64(clamp(ask.Returned, 0, maxTokens)), b.lent)
+	returned := min(float64(clamp(ask.Returned, maxTokens)), b.lent)
 	b.lent -= returned
 	b.tokens = min(b.tokens+returned, max(depth(t), b.tokens))
-	wanted := clamp(ask.Tokens, 0, maxTokens)
+	wanted := clamp(ask.Tokens, maxTokens)
 	grant.Tokens = min(wanted, int(b.tokens))
 	b.tokens -= float64(grant.Tokens)
 	b.lent += float64(grant.Tokens)
@@ -355,14 +367,20 @@
 	if b.standIn.IsZero() || now.Sub(newest(b.standIns)) > standInMemory {
 		b.standIn, b.standIns = now, map[gw.DataCentreName]time.Time{}
 	}
+	var from gw.DataCentreName
 	if h := l.contacts.hosts[host]; h != nil {
-		b.standIns[h.entry.DataCentre] = now
+		from = h.entry.DataCentre
+		b.standIns[from] = now
 	}
 	earlier, ok := l.earlier(t.Name)
 	b.start = b.standIn.Add(grace)
 	for _, name := range earlier {
 		if h := l.contacts.hosts[name]; h != nil && !h.heard.IsZero() {
-			if now.Sub(h.heard) < checkTimeout {
+			if h.near(now) {
+				if slices.Contains(h.cuts, from) {
+					// That host lends nothing there.
+					continue
+				}
 				b.tokens, b.standIn = 0, now
 				return name
 			}
@@ -406,7 +424,7 @@
 	if b.start.After(from) {
 		from = b.start
 	}
-	share := l.share(now, b)
+	share := l.share(now, t, b)
 	if now.After(from) {
 		b.tokens += share * t.QuotaPerSecond * now.Sub(from).Seconds()
 	}
@@ -419,13 +437,17 @@
 	}
 }
 
-func (l *Ledger) share(now time.Time, b *bucket) float64 {
+func (l *Ledger) share(now time.Time, t gw.Tenant, b *bucket) float64 {
 	if l.coordinates(now, b) {
 		return l.contacts.share(func(_ gw.DataCentreName, s *site) bool { return !s.cut })
 	}
+	earlier, _ := l.earlier(t.Name)
 	return l.contacts.share(func(dc gw.DataCentreName, _ *site) bool {
 		at, ok := b.standIns[dc]
-		return ok && now.Sub(at) <= standInMemory
+		return ok && now.Sub(at) <= standInMemory && !slices.ContainsFunc(earlier, func(name gw.HostName) bool {
+			h := l.contacts.hosts[name]
+			return h != nil && h.near(now) && !slices.Contains(h.cuts, dc)
+		})
 	})
 }
 
--- a/internal/process/gwquota/loop.go
+++ b/internal/process/gwquota/loop.go
@@ -20,8 +20,10 @@
 	callInterval = 20 * time.Millisecond
 	// admitTimeout limits the wait of a request for tokens.
 	admitTimeout = 100 * time.Millisecond
-	// suspectTime is how long a coordinator that did not answer is passed over.
-	suspectTime = time.Second
+	// suspectTime is how long a coordinator that did not answer is passed over, longSuspectTime when it did not answer
+	// before either. Requests wait in vain when it is tried again; the host that stands in tells when it is back.
+	suspectTime     = time.Second
+	longSuspectTime = 8 * time.Second
 	// adviceTime is how long the coordinator that another host has named is asked.
 	adviceTime = 2 * time.Second
 	// spreadTime is how long a quota that is new in a later configuration admits all requests, until the configuration is
@@ -387,16 +389,13 @@
 	now := time.Now()
 	l.applyListing(now)
 	started := 0
-	names := l.ledger.Tick(now)
-	claims := l.ledger.Claims(now)
+	checks, claims := l.ledger.Tick(now), l.ledger.Claims(now)
 	for name := range claims {
-		if !slices.Contains(names, name) {
-			names = append(names, name)
-		}
+		checks[name] = append(checks[name], []gw.QuotaAsk{}...)
 	}
-	for _, name := range names {
+	for name, asks := range checks {
 		if h, ok := l.hosts[name]; ok {
-			l.call(ctx, h, gw.QuotaRequest{Host: l.self.Name, Claims: claims[name]}, true)
+			l.call(ctx, h, gw.QuotaRequest{Host: l.self.Name, Asks: asks, Claims: claims[name]}, true)
 			started++
 		}
 	}
@@ -536,8 +535,7 @@
 	if r.err != nil {
 		result = "failed"
 	} else {
-		l.ledger.Heard(now, r.host)
-		l.ledger.Claimed(now, r.host, r.reply.Claimed)
+		l.ledger.Answered(now, r.host, r.reply)
 	}
 	l.metrics.messages.WithLabelValues(kind, result).Inc()
 	if r.check {
@@ -548,8 +546,10 @@
 	if r.err != nil {
 		if t.suspect.IsZero() {
 			l.log.Warn("coordinator of quotas does not answer", "host-asked", string(r.host), "error", r.err)
+			t.suspect = now.Add(suspectTime)
+		} else {
+			t.suspect = now.Add(longSuspectTime)
 		}
-		t.suspect = now.Add(suspectTime)
 	} else {
 		t.suspect = time.Time{}
 		l.apply(now, r.sent, r.asks, r.reply)
--- a/internal/process/gwquota/quota.go
+++ b/internal/process/gwquota/quota.go
@@ -8,8 +8,8 @@
 	gw "github.com/geraniumworks/geraniumworks"
 )
 
-// What is run in any 5 s is at most the tokens in the bucket, those on loan, and what accrues, with q the rate and b the
-// burst: depth (b + 0.05 q + 10) + loanLife * q + 5 q = 5.3 q + b + 10. The rule permits 5.5 q + 1.1 b + 20. The
+// What is run in any 5 s is at most the tokens in the bucket, those on loan, and what accrues. With q the rate and b
+// the burst that is (b + 0.05 q + 10) + loanLife * q + 5 q = 5.3 q + b + 10. The rule permits 5.5 q + 1.1 b + 20. The
 // difference covers requests that wait for a server after admission.
 const (
 	// loanLife is how long a host may use tokens, counted from when it asked for them.
@@ -26,7 +26,7 @@
 	// frozenAfter is a gap between two ticks after which other hosts may have replaced this one as coordinator.
 	frozenAfter = 900 * time.Millisecond
 	// checkAfter is how long a data centre may be silent before a coordinator checks that it can be reached.
-	checkAfter = 200 * time.Millisecond
+	checkAfter = 400 * time.Millisecond
 	// checkTimeout and silence together establish that a data centre cannot be reached.
 	checkTimeout = 400 * time.Millisecond
 	silence      = 800 * time.Millisecond
@@ -59,6 +59,7 @@
 	return max(t.QuotaBurst, 0) + extraDepthSeconds*t.QuotaPerSecond + extraDepth
 }
 
-func clamp(n, low, high int) int {
-	return min(max(n, low), high)
+// clamp returns n, or the nearest number from 0 to high.
+func clamp(n, high int) int {
+	return min(max(n, 0), high)
 }
--- a/internal/process/gwquota/share.go
+++ b/internal/process/gwquota/share.go
@@ -167,13 +167,13 @@
 func (s *Share) Answer(now, sent time.Time, g gw.QuotaGrant) {
 	h := s.holding(g.Tenant)
 	h.asking = false
-	if tokens := clamp(g.Tokens, 0, maxTokens); tokens > 0 && now.Before(sent.Add(loanLife)) {
+	if tokens := clamp(g.Tokens, maxTokens); tokens > 0 && now.Before(sent.Add(loanLife)) {
 		h.loans = append(h.loans, loan{tokens: tokens, until: sent.Add(loanLife)})
 	} else {
 		h.keepUnused(now, tokens)
 	}
 	h.notBefore = time.Time{}
-	if wait := time.Duration(clamp(int(g.WaitMilliseconds), 0, int(maxWait.Milliseconds()))); wait > 0 {
+	if wait := time.Duration(clamp(int(g.WaitMilliseconds), int(maxWait.Milliseconds()))); wait > 0 {
 		h.notBefore = now.Add(wait * time.Millisecond)
 	}
 }
--- a/internal/request/gwentry/fakes_test.go
+++ b/internal/request/gwentry/fakes_test.go
@@ -139,8 +139,9 @@
 	// relay is used instead of the address of the real relay when it is set.
 	relay string
 	// idle is the idle timeout of pooled connections in milliseconds.
-	idle int64
-	log  *slog.Logger
+	idle  int64
+	log   *slog.Logger
+	quota gwentry.Quota
 }
 
 func testConfig(s setup) gw.Config {
@@ -216,6 +217,7 @@
 		gwentry.WithConfig(config), gwentry.WithRouter(sys.router), gwentry.WithRegion("holland"),
 		gwentry.WithLocal(sys.relay), gwentry.WithForwarder(forwarder),
 		gwentry.WithPolicy(gwretry.New()), gwentry.WithLogger(s.log),
+		gwentry.WithQuota(s.quota),
 	)
 	sys.server = startOn(t, gwforward.NewServer(sys.entry, gwentry.DefaultHeaderBytes), func(l net.Listener) net.Listener {
 		return gwpipeline.Listener{Listener: l, Start: sys.entry.StartPipelined}
--- a/peer.go
+++ b/peer.go
@@ -264,6 +264,8 @@
 	// Claimed are those of the request's claims whose tokens the receiver does not lend, or no longer lends, with what it
 	// has left.
 	Claimed []QuotaHandover `json:"claimed,omitempty"`
+	// Cut are the data centres that the receiver cannot reach, and whose share it therefore does not lend.
+	Cut []DataCentreName `json:"cut,omitempty"`
 }
 
 // Peer sends messages to other hosts, each addressed by its peer address.
