--- a/internal/request/gwentry/fakes_test.go
+++ b/internal/request/gwentry/fakes_test.go
@@ -143,6 +143,7 @@
 	log  *slog.Logger
 	// configure changes the configuration, nil for nothing.
 	configure func(*gw.Config)
+	quota     gwentry.Quota
 }
 
 func testConfig(s setup) gw.Config {
@@ -221,6 +222,7 @@
 		gwentry.WithConfig(config), gwentry.WithRouter(sys.router), gwentry.WithRegion("holland"),
 		gwentry.WithLocal(sys.relay), gwentry.WithForwarder(forwarder),
 		gwentry.WithPolicy(gwretry.New()), gwentry.WithLogger(s.log),
+		gwentry.WithQuota(s.quota),
 	)
 	sys.server = startOn(t, gwforward.NewServer(sys.entry, gwentry.DefaultHeaderBytes), func(l net.Listener) net.Listener {
 		return gwpipeline.Listener{Listener: l, Start: sys.entry.StartPipelined}
