gwchoice, gwentry, gwtable: choose servers of cost-aware services by expected time to finish

Cause: the choice knows this host's requests in flight and a latency that mixes wait and slowness. Servers of one service differ in speed by a factor of 3, and the busiest one got 2.9 times the mean. A host in another region than the home region probed servers one after the other over a 40 ms link.

Change: for services with CostAware that are not divided by key, the score of a server is the expected wait (reported by its dispatcher, decaying to the usual wait with a time constant of 400 ms, plus this host's requests that the report does not include), the service time times the slowness learned from Gw-Served-Milliseconds, and the network cost. A random addition that grows with the age of the report spreads the requests of hosts that know the same. One of 32 choices goes to a server that was not used for 4 s. After three busy probes the request waits at the best one of the servers that were asked. A target in another region is not probed: the request is queued there. Other services are chosen as before.

--- a/internal/process/gwhost/adapters.go
+++ b/internal/process/gwhost/adapters.go
@@ -7,6 +7,7 @@
 	gw "github.com/geraniumworks/geraniumworks"
 	"github.com/geraniumworks/geraniumworks/internal/request/gwadmit"
 	"github.com/geraniumworks/geraniumworks/internal/request/gwchoice"
+	"github.com/geraniumworks/geraniumworks/internal/request/gwentry"
 )
 
 // admissionAdapter adapts the admitter, which identifies tenants by name, to the request path.
@@ -31,6 +32,27 @@
 	return chosen.Server, chosen.RemoteRegion, refusal
 }
 
+// ChooseByScore implements gwtable.ScoringChooser.
+func (c chooserAdapter) ChooseByScore(
+	cells []gw.Directory, req gw.RouteRequest,
+) (server gw.DirectoryServer, remoteRegion bool, refusal *gw.Refusal) {
+	chosen, refusal := c.chooser.ChooseByScore(req.Service, cells, gwchoice.Request{
+		Exclude: req.Exclude, Among: req.Asked, BodyBytes: req.BodyBytes,
+	})
+	return chosen.Server, chosen.RemoteRegion, refusal
+}
+
+// report passes on what an attempt has shown about a server.
+func (c chooserAdapter) report(target gw.Target, r gwentry.AttemptReport) {
+	out := gwchoice.Report{
+		Served: r.Served, Took: r.Took, AnswerBytes: r.AnswerBytes, RemoteRegion: target.RemoteRegion,
+	}
+	if r.Dispatcher != nil {
+		out.Wait, out.HasWait = r.Dispatcher.Wait, true
+	}
+	c.chooser.Report(target.Service, target.Server, out)
+}
+
 // Begin implements gwentry.Observer.
 func (c chooserAdapter) Begin(target gw.Target) func(status int, refusal *gw.Refusal) {
 	if target.HasKey {
--- a/internal/process/gwhost/host.go
+++ b/internal/process/gwhost/host.go
@@ -165,12 +165,14 @@
 		gwchoice.WithLocation(h.self.DataCentre, h.self.Region),
 		gwchoice.WithSeed(rand.Uint64()),
 		gwchoice.WithOutliers(h.dispatcher.OutlierServers),
+		gwchoice.WithLocalWait(h.dispatcher.ExpectedWait),
 		gwchoice.WithRegisterer(h.registry),
 	)}
 	router := gwtable.NewRouter(
 		gwtable.WithTable(h.table),
 		gwtable.WithHost(h.self.Name, h.self.Region),
 		gwtable.WithChooser(chooser),
+		gwtable.WithScoringChooser(chooser),
 	)
 	h.entry = gwentry.New(
 		gwentry.WithForwarder(h.forwarder("relay", h.relayPoolOptions()...)),
@@ -180,6 +182,7 @@
 		gwentry.WithLocal(h.relay),
 		gwentry.WithAdmission(admissionAdapter{h.admitter}),
 		gwentry.WithObserver(chooser),
+		gwentry.WithReports(chooser.report),
 		gwentry.WithLeaving(h.members.ReportLeaving),
 		gwentry.WithCallerProtocol(h.backend.CallerProtocol),
 		gwentry.WithLogger(h.log),
--- a/internal/request/gwchoice/chooser.go
+++ b/internal/request/gwchoice/chooser.go
@@ -48,6 +48,7 @@
 	policy     Policy
 	newRand    func() *rand.Rand
 	outliers   func(gw.ServiceName) []gw.ServerName
+	localWait  func(gw.ServiceName, gw.ServerName) (time.Duration, bool)
 	registerer prometheus.Registerer
 	chosen     *prometheus.CounterVec
 
@@ -153,7 +154,10 @@
 	defer c.mu.Unlock()
 	s, ok := c.services[name]
 	if !ok {
-		s = &service{rng: c.newRand(), servers: make(map[gw.ServerName]*serverHistory)}
+		s = &service{
+			rng: c.newRand(), servers: make(map[gw.ServerName]*serverHistory),
+			work: workModel{servers: make(map[gw.ServerName]*serverWork)},
+		}
 		c.services[name] = s
 	}
 	return s
@@ -208,6 +212,8 @@
 	// median is the median of the servers' smoothed latencies in seconds, zero when there are under two.
 	median float64
 
+	work workModel
+
 	stats   []ServerStats
 	indexes []serverIndex
 }
@@ -229,6 +235,9 @@
 	// answer that were not for overload.
 	backoffUntil time.Time
 	refusals     int
+	// overloaded is set while the server is passed over because it had too much work. The choice by score knows its
+	// expected wait instead.
+	overloaded bool
 }
 
 func (s *service) history(now time.Time, name gw.ServerName) *serverHistory {
@@ -249,12 +258,15 @@
 		switch {
 		case r.Overloaded || r.Reason == gw.ReasonOverloaded:
 			h.backoffUntil = now.Add(refusalBackoff)
+			h.overloaded = true
 		case r.Reason != gw.ReasonDeadlineTooShort:
 			h.backoffUntil = now.Add(refusalBackoff << min(h.refusals, maxDoublings))
 			h.refusals++
+			h.overloaded = false
 		}
 		if r.PausedUntil.After(h.backoffUntil) {
 			h.backoffUntil = r.PausedUntil
+			h.overloaded = false
 		}
 		return
 	}
@@ -285,6 +297,7 @@
 	for name, h := range s.servers {
 		if len(h.starts) == 0 && now.Sub(h.usedAt) > forgetAfter {
 			delete(s.servers, name)
+			delete(s.work.servers, name)
 			continue
 		}
 		if h.weight > 0 {
--- a/internal/request/gwchoice/options.go
+++ b/internal/request/gwchoice/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -37,6 +38,12 @@
 	return func(c *Chooser) { c.outliers = f }
 }
 
+// WithLocalWait sets a function that returns the expected wait for a slot of a server whose dispatcher is this process.
+// It replaces reported waits in the choice by score.
+func WithLocalWait(f func(gw.ServiceName, gw.ServerName) (time.Duration, bool)) Option {
+	return func(c *Chooser) { c.localWait = f }
+}
+
 // WithRegisterer sets where counters are registered; without it they are kept but not registered.
 func WithRegisterer(r prometheus.Registerer) Option {
 	return func(c *Chooser) { c.registerer = r }
--- a/internal/request/gwentry/attempt.go
+++ b/internal/request/gwentry/attempt.go
@@ -72,6 +72,9 @@
 // nextTarget asks the router for the target of the next attempt. For a service that is not divided by key it asks for a
 // server in this host's region first, since bytes between regions are paid for.
 func (c *call) nextTarget(ctx context.Context) (gw.Target, *gw.Refusal) {
+	if c.choosesByScore() {
+		return c.nextByScore(ctx)
+	}
 	avoid := c.search.avoid()
 	if !c.service.DividedByKey && !c.search.mayCrossRegions(c.body) {
 		near := gw.RouteRequest{HomeRegions: c.nearRegions(), Exclude: slices.Concat(c.exclude, avoid), NoWait: true}
@@ -129,6 +132,7 @@
 		Method: c.in.Method, URL: c.in.URL, Host: c.in.Host, Header: c.in.Header, Body: c.body,
 	}
 	res := result{target: target}
+	var report *gwforward.DispatcherReport
 	done := func(int, *gw.Refusal) {}
 	if c.handler.opts.Observer != nil {
 		done = c.handler.opts.Observer.Begin(target)
@@ -139,9 +143,12 @@
 		req.Address, req.Connections, req.Relay = target.RelayAddress, c.handler.opts.RelayConnections, true
 		var failed *gwforward.Failure
 		if res.answer, failed = c.handler.opts.Forwarder.Send(ctx, req); failed != nil {
-			res.refusal = failed.Refusal
+			res.refusal, report = failed.Refusal, failed.Report
+		} else {
+			report = res.answer.Report
 		}
 	}
+	c.report(target, start, res.answer, report)
 	c.observe(start, gwstage.StageAttempt, res.refusal)
 	if res.answer != nil || cancelled(ctx) {
 		// A cancelled attempt is recorded with the time it has taken so far. Otherwise slow attempts that were overtaken
--- a/internal/request/gwentry/handler.go
+++ b/internal/request/gwentry/handler.go
@@ -42,6 +42,7 @@
 	o := Options{
 		HeaderBytes: DefaultHeaderBytes, RelayConnections: DefaultRelayConnections, Callers: gwforward.NativeCallers{},
 		Logger: slog.New(slog.DiscardHandler), Leaving: func(gw.ServerName, gw.Incarnation) {},
+		Reports: func(gw.Target, AttemptReport) {},
 	}
 	for _, opt := range opts {
 		opt(&o)
--- a/internal/request/gwentry/options.go
+++ b/internal/request/gwentry/options.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -39,6 +40,16 @@
 	Begin(target gw.Target) (done func(status int, refusal *gw.Refusal))
 }
 
+// AttemptReport is what an attempt at a server of a cost-aware service has shown about the server.
+type AttemptReport struct {
+	// Dispatcher is the report of the server's dispatcher. It is nil for a local target, and when there was none.
+	Dispatcher *gwforward.DispatcherReport
+	// Served is how long the request was at the server, zero when it was refused; Took is how long the attempt took.
+	Served, Took time.Duration
+	// AnswerBytes is the size of the answer, negative when it is not known.
+	AnswerBytes int64
+}
+
 // Options are the settings of a Handler.
 type Options struct {
 	Config           func() gw.Config
@@ -47,6 +58,7 @@
 	Local            Deliverer
 	Admission        Admission
 	Observer         Observer
+	Reports          func(gw.Target, AttemptReport)
 	Leaving          func(gw.ServerName, gw.Incarnation)
 	Forwarder        *gwforward.Forwarder
 	Callers          gw.CallerProtocol
@@ -91,6 +103,12 @@
 	return func(opts *Options) { opts.Observer = o }
 }
 
+// WithReports sets a function that is told what attempts have shown about servers of cost-aware services. By default
+// nobody is told.
+func WithReports(reports func(gw.Target, AttemptReport)) Option {
+	return func(o *Options) { o.Reports = reports }
+}
+
 // WithLeaving sets a function that is told which run of a server has said in an answer that it leaves. By default
 // nobody is told.
 func WithLeaving(leaving func(gw.ServerName, gw.Incarnation)) Option {
--- a/internal/request/gwentry/search.go
+++ b/internal/request/gwentry/search.go
@@ -71,7 +71,11 @@
 }
 
 // probesForSlot reports whether the next attempt only asks for a free slot. A request with a key does not probe,
-// because only the owner of the key may run it. Nor does one with a streamed body, which cannot be sent again.
+// because only the owner of the key may run it. Nor does one with a streamed body, which cannot be sent again. With a
+// choice by score, one for another region is queued there: each probe would take 40 ms.
 func (c *call) probesForSlot(target gw.Target) bool {
+	if c.choosesByScore() && target.RemoteRegion {
+		return false
+	}
 	return !target.HasKey && !c.objective.IsZero() && c.search.canProbe() && c.body.Concurrent()
 }
--- a/internal/request/gwforward/answer.go
+++ b/internal/request/gwforward/answer.go
@@ -40,8 +40,8 @@
 	Load *gw.ServerUtilization
 	// Report is what the dispatcher of the server says about it, nil when it says nothing.
 	Report *DispatcherReport
-	// Served is the time from the sending of the request to the server to the head of the answer. It is zero at a host that
-	// has sent the request to a relay, see Report.
+	// Served is the time from the sending of the request to the server to the head of the answer. It is zero at a host
+	// that has sent the request to a relay, see Report.
 	Served time.Duration
 	// RequestID is the id of the attempt that was answered.
 	RequestID string
@@ -190,6 +190,11 @@
 	return a.length >= 0 || a.ended
 }
 
+// Length returns the declared length of the answer's body in bytes, -1 when none was declared.
+func (a *Answer) Length() int64 {
+	return a.length
+}
+
 // CloseExpired closes an answer whose body is still arriving although the deadline has passed, and returns the refusal
 // that takes its place. It returns nil for an answer that can be written.
 func (a *Answer) CloseExpired(now time.Time) *gw.Refusal {
--- a/internal/request/gwrelay/relay.go
+++ b/internal/request/gwrelay/relay.go
@@ -96,6 +96,16 @@
 		r.logEnd(req, sent, server, failed.Refusal)
 		return nil, failed.Refusal
 	}
+	r.noteAnswer(server, sent, answer)
+	answer.OnEnd(func(a *gwforward.Answer, complete bool) {
+		cancel()
+		r.reportEnd(slot, a, complete)
+	})
+	return answer, nil
+}
+
+// noteAnswer notes what the answer to a request that was sent at sent says about its server.
+func (r *Relay) noteAnswer(server gw.DispatchServer, sent time.Time, answer *gwforward.Answer) {
 	answer.Served = answer.FirstByte.Sub(sent)
 	r.opts.Reach.Answered(server.Address)
 	if answer.Leaving {
@@ -105,11 +115,6 @@
 		}
 		r.opts.Leaving(server.Name, answer.Incarnation)
 	}
-	answer.OnEnd(func(a *gwforward.Answer, complete bool) {
-		cancel()
-		r.reportEnd(slot, a, complete)
-	})
-	return answer, nil
 }
 
 // noteFailure notes what an attempt without an answer that can be passed on says about the path to servers.
--- a/internal/version/gwtable/options.go
+++ b/internal/version/gwtable/options.go
@@ -15,6 +15,15 @@
 	) (server gw.DirectoryServer, remoteRegion bool, refusal *gw.Refusal)
 }
 
+// ScoringChooser chooses a server of a cost-aware service by the expected time to finish a request there.
+type ScoringChooser interface {
+	// ChooseByScore returns a server of the cells that req does not exclude, and whether it is in another region, or a
+	// refusal with gw.ReasonNoServer.
+	ChooseByScore(
+		cells []gw.Directory, req gw.RouteRequest,
+	) (server gw.DirectoryServer, remoteRegion bool, refusal *gw.Refusal)
+}
+
 // Option configures a Router.
 type Option func(*Router)
 
@@ -36,6 +45,12 @@
 	return func(r *Router) { r.chooser = c }
 }
 
+// WithScoringChooser sets how a server of a cost-aware service that is not divided by key is chosen. Without it, the
+// chooser of all other services is used.
+func WithScoringChooser(c ScoringChooser) Option {
+	return func(r *Router) { r.scoring = c }
+}
+
 // WithWait sets how long a request waits for newer state, one second by default.
 func WithWait(d time.Duration) Option {
 	return func(r *Router) { r.wait = d }
--- a/internal/version/gwtable/router.go
+++ b/internal/version/gwtable/router.go
@@ -17,6 +17,7 @@
 	host    gw.HostName
 	region  gw.RegionName
 	chooser Chooser
+	scoring ScoringChooser
 	wait    time.Duration
 }
 
@@ -127,6 +128,13 @@
 			directories = append(directories, d)
 		}
 	}
+	if service.CostAware && r.scoring != nil {
+		entry, remote, refusal := r.scoring.ChooseByScore(directories, req)
+		if refusal != nil {
+			return gw.Target{}, refusal
+		}
+		return r.target(service.Name, entry, remote), nil
+	}
 	entry, remote, refusal := r.chooser.Choose(service.Name, directories, req.Exclude)
 	if refusal != nil {
 		return gw.Target{}, refusal
--- a/outcome.go
+++ b/outcome.go
@@ -50,7 +50,8 @@
 	HeaderNoWait    = "Gw-No-Wait"
 	// HeaderCostClass carries the CostClass of the request from an entry host to a dispatcher.
 	HeaderCostClass = "Gw-Cost-Class"
-	// HeaderWait carries the milliseconds that a further request would wait for a slot, from a dispatcher to an entry host.
+	// HeaderWait carries the milliseconds that a further request would wait for a slot, from a dispatcher to an entry
+	// host.
 	HeaderWait = "Gw-Wait-Milliseconds"
 	// HeaderServed carries the milliseconds from the sending of the request to the server to the head of its answer, from
 	// a dispatcher to an entry host.
--- a/request.go
+++ b/request.go
@@ -15,8 +15,13 @@
 	Key string
 	// Exclude lists servers that an earlier attempt of the request has tried.
 	Exclude []ServerName
+	// Asked lists the servers whose dispatchers have just told the expected wait. When it is not empty, a server of this
+	// host's region is chosen among them for a cost-aware service.
+	Asked []ServerName
 	// NoWait asks for a refusal when there is no target now.
 	NoWait bool
+	// BodyBytes is the size of the request body, negative when it is not known. It counts for a cost-aware service.
+	BodyBytes int64
 	// Stale is the highest token that a server has refused as stale in an earlier attempt.
 	Stale Revision
 }
