gwdispatch: late requests wait when the server is offered little work

Cause: below the capacity a late request was refused when it would have waited for more than 40% of its time, although the server soon had capacity for it.

Change: with less than 0.8 times the capacity offered over the last second it waits unless it would miss its deadline.

--- a/internal/request/gwdispatch/costorder.go
+++ b/internal/request/gwdispatch/costorder.go
@@ -45,8 +45,8 @@
 	return est
 }
 
-// expect estimates the cost of a request. While nothing has been observed, it falls back to the smoothed service time or
-// the age of the oldest running request, so that requests do not queue up for a server that hangs from the start.
+// expect estimates the cost of a request. While nothing has been observed, it falls back to the smoothed service time
+// or the age of the oldest running request, so that requests do not queue up for a server that hangs from the start.
 func (s *serverState) expect(now time.Time, class gw.CostClass) gwcost.Estimate {
 	est := s.cost.Expect(now, class)
 	if !est.Known() {
@@ -204,13 +204,21 @@
 // waitsInVain reports whether requests that can be on time leave a late one so little capacity that it should be
 // refused. Below capacity, after a short burst, it is served late instead.
 func (s *serverState) waitsInVain(now time.Time, r *request) bool {
-	if s.returns.Offered(now)*s.projected.scale > overloadShare*float64(len(s.projected.free)) {
+	offered := s.returns.Offered(now) * s.projected.scale / float64(len(s.projected.free))
+	if offered > overloadShare {
 		return true
 	}
+	if offered < calmShare {
+		return r.expectedStart.After(r.queueDeadline)
+	}
 	left := r.Deadline.Add(-r.cost.Median).Sub(now)
 	return float64(r.expectedStart.Sub(now)) > maxLateWaitShare*float64(left) || r.expectedStart.After(r.queueDeadline)
 }
 
+// calmShare is the offered work, as a share of the capacity, below which a late request waits as long as it can be
+// served before its deadline. The requests ahead of it will soon have been served.
+const calmShare = 0.8
+
 // overloadShare is the offered work, as a share of the capacity, from which on late requests are refused at once. The
 // rate over one second varies by about a third at a server with 12 requests a second. In the replay with a fifth of the
 // servers slow, 1.3 left 3% of the slots unused.
