gwdispatch: test of the order and of displacement in cost-aware services

Nothing guarded the order across tenants, the turn of less urgent tenants, and which request a full queue gives up. The test fails without the turn in goesFirst, and without the rule for late requests in displaceByCost.

--- a/internal/request/gwdispatch/costorder_test.go
+++ b/internal/request/gwdispatch/costorder_test.go
@@ -329,3 +329,50 @@
 	}
 	require.Less(t, s.cost.Expect(now, "").High, 100*ms)
 }
+
+// Guards against late work that delays work which can be on time, also of another tenant, against a tenant that starves
+// behind a more urgent one, and against a full queue that keeps a late request rather than one that can be on time.
+func TestCostAwareOrder(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := newServerState("s", gw.ServiceLimits{ColdPercent: 100, QueueLength: 4, QueueMilliseconds: 60_000})
+	s.setCosts(gwcost.NewModel())
+	s.lease(now, gw.DispatchServer{Name: "s", Slots: 1}, now.Add(time.Hour), gw.ItemVersion{Epoch: 1})
+	submit := func(tenant gw.TenantName, priority int, objective time.Duration) *request {
+		r := &request{SlotRequest: gw.SlotRequest{
+			Tenant: tenant, Priority: priority, Deadline: now.Add(time.Minute), Objective: now.Add(objective),
+		}}
+		s.submit(now, r)
+		return r
+	}
+	var running *request
+	finish := func() {
+		now = now.Add(100 * ms)
+		s.finish(now, running, gw.AttemptResult{Outcome: gw.OutcomeAnswered, Status: 200, End: now})
+		if len(s.busy) > 0 {
+			running = s.busy[0]
+		}
+	}
+	for range 20 {
+		running = submit("a", 0, time.Second)
+		finish()
+	}
+	running = submit("a", 0, time.Second)
+	late := submit("a", 0, 10*ms)
+	minor, urgent := submit("b", 2, 2*time.Second), submit("c", 1, 2*time.Second)
+	another := submit("a", 1, 3*time.Second)
+	require.Equal(t, stateWaiting, late.state, "the server soon has time for it")
+	replacing := submit("d", 2, 3*time.Second)
+	require.Equal(t, stateRefused, late.state)
+	require.Equal(t, gw.ReasonOverloaded, late.refusal.Reason)
+	require.Equal(t, stateWaiting, replacing.state)
+	finish()
+	require.Contains(t, []*request{urgent, another}, running)
+	finish()
+	require.Contains(t, []*request{urgent, another}, running)
+	require.Equal(t, stateWaiting, minor.state)
+	for range 2 * turnsPerRound {
+		submit("a", 0, 10*time.Second)
+		finish()
+	}
+	require.Equal(t, stateEnded, minor.state, "served in turn although more urgent requests wait")
+}
