gwdispatch: probes avoid servers that reject a part of their requests

Cause: a rejecting server has free slots, so that probes get one there. The request is rejected, and may be sent to few servers. An entry host sees one answer of a server in seconds and learns nothing from it.

Change: the dispatcher, which sees all answers of a server, estimates the share of rejections over a second. From a fifth on it refuses probes, and the wait that it reports includes the delay by rejections. A request that finds no other server is sent all the same, and without new results the server is tried again within three seconds.

--- a/internal/request/gwdispatch/observe.go
+++ b/internal/request/gwdispatch/observe.go
@@ -26,8 +26,9 @@
 	good := result.Outcome == gw.OutcomeAnswered && result.Status < http.StatusInternalServerError
 	sameIncarnation := r.incarnation == s.incarnation
 	switch {
-	case result.Overloaded && s.cost != nil && hasFreeSlots(result.Load):
+	case s.rejectedWithFreeSlots(result):
 		// Fewer requests would be rejected as often.
+		s.rejections.add(now, 1)
 	case result.Overloaded:
 		s.slotLimiter.lower(now, s.limits, s.server.Slots, s.busy, s.serviceTime)
 	case good && sameIncarnation && !r.started.Before(s.slotLimiter.loweredAt):
@@ -36,6 +37,7 @@
 	}
 	if good {
 		s.answers++
+		s.rejections.add(now, 0)
 		if s.serviceTime == 0 {
 			s.serviceTime = took
 		}
@@ -118,12 +120,3 @@
 		r.bad++
 	}
 }
-
-// hasFreeSlots reports whether a server that rejects requests says at the same time that it has free slots.
-//
-// Load pattern: all servers of a service reject half of the requests for several seconds, whatever they have to do,
-// while there is a burst. When the slots in use are lowered for each of these answers, the rate of starts falls to a
-// share of the capacity that is then rejected by half again.
-func hasFreeSlots(load *gw.ServerUtilization) bool {
-	return load != nil && load.Waiting == 0 && load.Running < load.Slots
-}
--- a/internal/request/gwdispatch/reject_test.go
+++ b/internal/request/gwdispatch/reject_test.go
@@ -58,3 +58,36 @@
 	require.Equal(t, spaced, rejectingServer(t, false, full), "without cost-aware nothing changes")
 	require.Less(t, rejectingServer(t, true, full), rejectingServer(t, true, free))
 }
+
+// Load pattern: some servers of a service reject half of their requests while others have free slots. Guards against
+// probes that get a slot of a rejecting server, and against a server that is never tried again after it has recovered.
+func TestProbesAvoidRejectingServers(t *testing.T) {
+	p := newReplay()
+	p.state.setCosts(gwcost.NewModel())
+	load := gw.ServerUtilization{Slots: 2, WorkPercent: 100}
+	send := func(noWait bool, result gw.AttemptResult) *request {
+		p.now = p.now.Add(100 * time.Millisecond)
+		r := &request{SlotRequest: gw.SlotRequest{Server: "s1", NoWait: noWait, Deadline: p.now.Add(time.Second)}}
+		if p.state.submit(p.now, r); r.state == stateRunning {
+			p.now = p.now.Add(50 * time.Millisecond)
+			result.End = p.now
+			p.state.finish(p.now, r, result)
+		}
+		return r
+	}
+	answered := gw.AttemptResult{Outcome: gw.OutcomeAnswered, Status: 200}
+	rejected := gw.AttemptResult{Outcome: gw.OutcomeNotRun, Status: 503, Overloaded: true, Load: &load}
+	for range 8 {
+		require.Nil(t, send(true, answered).refusal)
+	}
+	for range 4 {
+		send(false, answered)
+		send(false, rejected)
+	}
+	probe := send(true, answered)
+	require.Equal(t, gw.ReasonOverloaded, probe.refusal.Reason)
+	require.Positive(t, probe.refusal.RetryAfterMilliseconds)
+	require.Nil(t, send(false, answered).refusal, "a request that finds no other server is sent")
+	p.now = p.now.Add(3 * rejectionMemory)
+	require.Nil(t, send(true, answered).refusal, "the server is tried again")
+}
--- /dev/null
+++ b/internal/request/gwdispatch/rejections.go
@@ -0,0 +1,79 @@
+package gwdispatch
+
+import (
+	"math"
+	"time"
+
+	gw "github.com/geraniumworks/geraniumworks"
+)
+
+const (
+	// rejectionMemory is the time constant with which rejections and answers lose their weight. A server that no probe
+	// uses because of its rejections is therefore tried again within a few seconds.
+	rejectionMemory = time.Second
+	// minRejectionSamples is how many recent results are needed for an estimate.
+	minRejectionSamples = 3
+	// leastRejections is the share of rejections below which a server counts as sound: another server that is
+	// asked in its place costs a message.
+	leastRejections = 0.2
+)
+
+// rejections estimates the share of requests that a server rejects although it has free slots.
+//
+// Load pattern: a part of the servers of a service rejects half of the requests for several seconds, while the others
+// could serve all. A request may be sent to few servers, so that many are refused that another server had a slot for.
+// The dispatcher sees all results of a server; one of 60 entry hosts sees one in some seconds.
+type rejections struct {
+	rejected, total float64
+	at              time.Time
+}
+
+func (r *rejections) add(now time.Time, rejected float64) {
+	weight := r.weight(now)
+	r.rejected, r.total, r.at = r.rejected*weight+rejected, r.total*weight+1, now
+}
+
+func (r *rejections) weight(now time.Time) float64 {
+	return math.Exp(-max(now.Sub(r.at), 0).Seconds() / rejectionMemory.Seconds())
+}
+
+// share returns the share of requests that are likely to be rejected, zero when that is little or not known.
+func (r *rejections) share(now time.Time) float64 {
+	if r.total*r.weight(now) < minRejectionSamples || r.rejected < leastRejections*r.total {
+		return 0
+	}
+	return r.rejected / r.total
+}
+
+// rejectedWithFreeSlots reports whether a server of a cost-aware service has rejected a request and says at the same
+// time that it has free slots.
+//
+// Load pattern: all servers of a service reject half of the requests for several seconds, whatever they have to do,
+// while there is a burst. When the slots in use are lowered for each of these answers, the rate of starts falls to a
+// share of the capacity that is then rejected by half again.
+func (s *serverState) rejectedWithFreeSlots(result gw.AttemptResult) bool {
+	load := result.Load
+	return s.cost != nil && result.Overloaded && load != nil && load.Waiting == 0 && load.Running < load.Slots
+}
+
+// rejectionDelay returns the time that a request of the given cost is expected to lose by rejections at the server, as
+// if each took as long as the request itself: the attempt is lost, and few are permitted.
+func (s *serverState) rejectionDelay(now time.Time, cost time.Duration) time.Duration {
+	if s.cost == nil {
+		return 0
+	}
+	share := min(s.rejections.share(now), maxRejections)
+	return time.Duration(share / (1 - share) * float64(cost))
+}
+
+// maxRejections bounds the share of rejections, so that the delay is finite.
+const maxRejections = 0.95
+
+// rejectingRefusal refuses a request that only asks for a free slot, so that it goes to another server if one has a slot
+// and does not reject requests. The wait that it states includes the delay by rejections.
+func (s *serverState) rejectingRefusal(now time.Time, r *request) *gw.Refusal {
+	s.project(now, r)
+	wait := r.expectedStart.Sub(now) + s.rejectionDelay(now, r.cost.Mean)
+	return gw.Refuse(gw.ReasonOverloaded, "the server rejects a part of its requests").
+		WithRetryAfter(max(wait, minRetryAfter).Milliseconds())
+}
--- a/internal/request/gwdispatch/server.go
+++ b/internal/request/gwdispatch/server.go
@@ -45,6 +45,7 @@
 	projectedLate []*request
 	turn          int
 	returns       gwcost.Returns
+	rejections    rejections
 	// serviceTime is the smoothed service time of successful answers. It is kept when the server restarts.
 	serviceTime time.Duration
 	rates       rates
@@ -93,6 +94,10 @@
 		s.refuse(r, gw.Refuse(gw.ReasonDeadlineTooShort, "less time is left than the server's median service time"))
 		return
 	}
+	if r.NoWait && s.rejectionDelay(now, r.cost.Mean) > 0 {
+		s.refuse(r, s.rejectingRefusal(now, r))
+		return
+	}
 	if s.queue.length == 0 {
 		if ok, fractional := s.admits(now); ok {
 			s.start(now, r, fractional)
