gwdispatch: a rejecting server with free slots goes before a queue

The delay that was reported for rejections, 1.2 times a request, was longer than the queues of the sound servers, and the slots of the rejecting ones stayed free. A rejected request is sent elsewhere at once, which costs about half a request.

--- a/internal/request/gwdispatch/queue.go
+++ b/internal/request/gwdispatch/queue.go
@@ -166,8 +166,8 @@
 }
 
 // givesWay reports whether the tenant may lose a request to one of a tenant of the given priority, which would then
-// have own requests. Tenants of the same priority share the queue evenly. Less urgent tenants keep one place, and may take
-// one from others, so that they have a request for their turn.
+// have own requests. Tenants of the same priority share the queue evenly. Less urgent tenants keep one place, and may
+// take one from others, so that they have a request for their turn.
 func (t *tenantQueue) givesWay(priority, own int) bool {
 	switch {
 	case t.priority > priority:
--- a/internal/request/gwdispatch/rejections.go
+++ b/internal/request/gwdispatch/rejections.go
@@ -56,21 +56,18 @@
 	return s.cost != nil && result.Overloaded && load != nil && load.Waiting == 0 && load.Running < load.Slots
 }
 
-// rejectionDelay returns the time that a request of the given cost is expected to lose by rejections at the server, as
-// if each took as long as the request itself: the attempt is lost, and few are permitted.
+// rejectionDelay returns the time that a request of the given cost is expected to lose by rejections at the server. A
+// rejected request is sent to another server at once, so that it waits for about half of a request there. A server with
+// free slots that rejects half of its requests is still worth more than a queue.
 func (s *serverState) rejectionDelay(now time.Time, cost time.Duration) time.Duration {
 	if s.cost == nil {
 		return 0
 	}
-	share := min(s.rejections.share(now), maxRejections)
-	return time.Duration(share / (1 - share) * float64(cost))
+	return time.Duration(s.rejections.share(now) * float64(cost) / 2)
 }
 
-// maxRejections bounds the share of rejections, so that the delay is finite.
-const maxRejections = 0.95
-
-// rejectingRefusal refuses a request that only asks for a free slot, so that it goes to another server if one has a slot
-// and does not reject requests. The wait that it states includes the delay by rejections.
+// rejectingRefusal refuses a request that only asks for a free slot, so that it goes to another server if one has a
+// slot and does not reject requests. The wait that it states includes the delay by rejections.
 func (s *serverState) rejectingRefusal(now time.Time, r *request) *gw.Refusal {
 	s.project(now, r)
 	wait := r.expectedStart.Sub(now) + s.rejectionDelay(now, r.cost.Mean)
--- a/internal/request/gwdispatch/wait.go
+++ b/internal/request/gwdispatch/wait.go
@@ -7,7 +7,8 @@
 )
 
 // ExpectedWait returns how long a further request without a key would wait for a slot of the server now, zero when a
-// slot is free. The delay by rejections of the server is part of it. It returns ok false when this host is not the dispatcher of the server.
+// slot is free. The delay by rejections of the server is part of it. It returns ok false when this host is not the
+// dispatcher of the server.
 func (d *Dispatcher) ExpectedWait(service gw.ServiceName, name gw.ServerName) (wait time.Duration, ok bool) {
 	s, found := (*d.servers.Load())[serverKey{service, name}]
 	if !found {
