gwpreview, gwadmin, geraniumctl: show where a request would go

Cause: operators could see the owner of a key, but not why a request without a key goes to a server, nor what would be refused.

Change: 'geraniumctl where' asks the operators' listener of a host (GET /v1/where). The answer has the route, tenant, service, position and owner of the key; the candidates with score, expected wait, service time, slowness and the age of the report; and the refusal with its Retry-After. A dispatcher is asked only in the same process, so that no message and no request leaves the host. Package gwpreview uses the route index of gwentry, the router for keys, and the scores of gwchoice.

Before: no such command. After: TestWhere and the script where.txtar.

--- a/cmd/geraniumctl/commands.go
+++ b/cmd/geraniumctl/commands.go
@@ -98,6 +98,16 @@
 
 Examples:
   geraniumctl owner lookups harbour-offices "De Geranium"`, &ownerCommand{app: a}},
+		{
+			"where", "Show where a request would go", `Asks a host where it would send a request now, and why: route, ` +
+				`service, owner of the key, and candidates with the expected time to finish there. Sends no request to a ` +
+				`server. What a dispatcher would refuse is known only for servers of which the asked host is the dispatcher.
+
+Examples:
+  geraniumctl where --host labels.example --path /labels/7
+  geraniumctl --output json where --host names.example --path /names --key "De Geranium" --tenant harbour-offices`,
+			&whereCommand{app: a},
+		},
 		{"audit", "Read and verify the audit trail", `Lists changes, newest first, and verifies their hash chain.
 
 Examples:
--- a/cmd/geraniumctl/main_test.go
+++ b/cmd/geraniumctl/main_test.go
@@ -134,6 +134,9 @@
 		q := r.URL.Query()
 		fmt.Fprintf(w, `{"service": %q, "owner": "server-3", "characters-in-key": %d, "tenant": %q}`,
 			q.Get("service"), len([]rune(q.Get("key"))), q.Get("tenant"))
+	case "/v1/where":
+		q := r.URL.Query()
+		http.ServeFile(w, r, filepath.Join(h.dir, "where", q.Get("host")+q.Get("bytes")+".json"))
 	default:
 		http.NotFound(w, r)
 	}
--- a/internal/process/gwadmin/admin.go
+++ b/internal/process/gwadmin/admin.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	gw "github.com/geraniumworks/geraniumworks"
+	"github.com/geraniumworks/geraniumworks/internal/request/gwpreview"
 	"github.com/geraniumworks/geraniumworks/internal/version/gwtable"
 )
 
@@ -39,6 +40,7 @@
 	peer     gw.Peer
 	health   Health
 	gatherer prometheus.Gatherer
+	where    func(context.Context, gwpreview.Request) gwpreview.Answer
 }
 
 // New returns an API.
@@ -71,6 +73,7 @@
 	e.GET("/v1/directories", a.directories)
 	e.GET("/v1/config", a.config)
 	e.GET("/v1/hosts", a.listedHosts)
+	e.GET("/v1/where", a.whereTo)
 }
 
 func (a *API) live(ec echo.Context) error {
--- a/internal/process/gwadmin/options.go
+++ b/internal/process/gwadmin/options.go
@@ -1,9 +1,12 @@
 package gwadmin
 
 import (
+	"context"
+
 	"github.com/prometheus/client_golang/prometheus"
 
 	gw "github.com/geraniumworks/geraniumworks"
+	"github.com/geraniumworks/geraniumworks/internal/request/gwpreview"
 	"github.com/geraniumworks/geraniumworks/internal/version/gwtable"
 )
 
@@ -38,6 +41,11 @@
 	return func(a *API) { a.health = h }
 }
 
+// WithWhere sets the function that shows where a request would be sent.
+func WithWhere(where func(context.Context, gwpreview.Request) gwpreview.Answer) Option {
+	return func(a *API) { a.where = where }
+}
+
 // WithGatherer sets the metrics to serve.
 func WithGatherer(g prometheus.Gatherer) Option {
 	return func(a *API) { a.gatherer = g }
--- a/internal/process/gwhost/host.go
+++ b/internal/process/gwhost/host.go
@@ -27,6 +27,7 @@
 	"github.com/geraniumworks/geraniumworks/internal/request/gwdispatch"
 	"github.com/geraniumworks/geraniumworks/internal/request/gwentry"
 	"github.com/geraniumworks/geraniumworks/internal/request/gwforward"
+	"github.com/geraniumworks/geraniumworks/internal/request/gwpreview"
 	"github.com/geraniumworks/geraniumworks/internal/request/gwrelay"
 	"github.com/geraniumworks/geraniumworks/internal/request/gwretry"
 	"github.com/geraniumworks/geraniumworks/internal/version/gwfeed"
@@ -56,6 +57,7 @@
 	relay        *gwrelay.Relay
 	pools        []*gwpool.Pool
 	entry        *gwentry.Handler
+	preview      *gwpreview.Previewer
 	control      *gwcontrol.Loop
 	admin        *gwadmin.API
 	reach        *gwreach.Reach
@@ -174,6 +176,14 @@
 		gwtable.WithChooser(chooser),
 		gwtable.WithScoringChooser(chooser),
 	)
+	h.preview = gwpreview.New(gwpreview.Options{
+		Host: h.self.Name, Region: h.self.Region, Config: config, Table: h.table, Router: router,
+		Candidates: chooser.chooser.Candidates, Preview: h.dispatcher.Preview, Clock: gw.SystemClock{},
+		Dispatches: func(service gw.ServiceName, server gw.ServerName) bool {
+			_, ok := h.dispatcher.ExpectedWait(service, server)
+			return ok
+		},
+	})
 	h.entry = gwentry.New(
 		gwentry.WithForwarder(h.forwarder("relay", h.relayPoolOptions()...)),
 		gwentry.WithConfig(config),
@@ -247,6 +257,7 @@
 		gwadmin.WithPeer(h.client),
 		gwadmin.WithHealth(h),
 		gwadmin.WithGatherer(h.registry),
+		gwadmin.WithWhere(h.preview.Where),
 	)
 }
 
