gwdispatch: estimate each class once for a projection

Cause: each projection asked the model for every waiting request.

Change: one estimate for each class of a projection.

--- a/internal/request/gwdispatch/costorder.go
+++ b/internal/request/gwdispatch/costorder.go
@@ -80,6 +80,26 @@
 	// request occupies its slot because a cold server uses only a fraction of its slots.
 	starts int
 	scale  float64
+	// estimates are those of the classes of the waiting requests.
+	estimates []classEstimate
+}
+
+type classEstimate struct {
+	class gw.CostClass
+	cost  gwcost.Estimate
+}
+
+// expectOnce estimates the cost of a waiting request once for each class of a projection.
+func (s *serverState) expectOnce(now time.Time, class gw.CostClass) gwcost.Estimate {
+	p := &s.projected
+	for i := range p.estimates {
+		if p.estimates[i].class == class {
+			return p.estimates[i].cost
+		}
+	}
+	est := s.expect(now, class)
+	p.estimates = append(p.estimates, classEstimate{class, est})
+	return est
 }
 
 // project assigns the waiting requests, and extra unless it is nil, to the slots in the order of service. It sets when
@@ -92,8 +112,9 @@
 	for _, t := range s.queue.tenants {
 		p.order = append(p.order, t.requests...)
 	}
+	p.estimates = p.estimates[:0]
 	for _, r := range p.order {
-		r.cost = s.expect(now, r.Class)
+		r.cost = s.expectOnce(now, r.Class)
 	}
 	if extra != nil {
 		p.order = append(p.order, extra)
