gwchoice, gwentry: a failed request makes its server look slow in the choice by score

Cause: the slowness was learned from the time at the server only, so that a server that fails at once looked fast and got more requests. One that hangs taught nothing, because there is no answer.

Change: an answer with a status of 500 or more, or an unknown outcome that is not a cancellation, counts as 10 service times, as in the choice by requests in flight.

Before: the failure was not covered. After: TestFailingServerIsNotFast.

--- a/internal/process/gwhost/adapters.go
+++ b/internal/process/gwhost/adapters.go
@@ -45,7 +45,8 @@
 // report passes on what an attempt has shown about a server.
 func (c chooserAdapter) report(target gw.Target, r gwentry.AttemptReport) {
 	out := gwchoice.Report{
-		Served: r.Served, Took: r.Took, AnswerBytes: r.AnswerBytes, RemoteRegion: target.RemoteRegion,
+		Served: r.Served, Took: r.Took, Failed: r.Failed, AnswerBytes: r.AnswerBytes,
+		RemoteRegion: target.RemoteRegion,
 	}
 	if r.Dispatcher != nil {
 		out.Wait, out.HasWait = r.Dispatcher.Wait, true
--- a/internal/request/gwchoice/score_test.go
+++ b/internal/request/gwchoice/score_test.go
@@ -131,6 +131,20 @@
 	require.Greater(t, s.candidate("s0").Slowness, 2*s.candidate("s1").Slowness, "a lasting change is learned")
 }
 
+// Guards against a server that fails at once, looks fast, and gets all requests.
+func TestFailingServerIsNotFast(t *testing.T) {
+	s := newScored(4, 1)
+	for range 20 {
+		for _, name := range []gw.ServerName{"s1", "s2", "s3"} {
+			s.served(name, 100*time.Millisecond, 0)
+		}
+		s.Report("labels", "s0", gwchoice.Report{
+			HasWait: true, Served: time.Millisecond, Took: 3 * time.Millisecond, Failed: true,
+		})
+	}
+	require.Less(t, s.choose(t, 100, gwchoice.Request{})["s0"], 10)
+}
+
 // Load: many hosts have heard that one server is idle, and little of the others. Guards against a flood of
 // probes at it.
 func TestIdleServerIsNotFlooded(t *testing.T) {
--- a/internal/request/gwchoice/work.go
+++ b/internal/request/gwchoice/work.go
@@ -71,6 +71,8 @@
 	HasWait bool
 	// Served is how long the request was at the server, zero when it was refused; Took is how long the attempt took.
 	Served, Took time.Duration
+	// Failed is true when the request has failed at the server, which may be fast.
+	Failed bool
 	// AnswerBytes is the size of the answer, negative when it is not known.
 	AnswerBytes int64
 	// RemoteRegion is true for a server in another region.
@@ -96,6 +98,12 @@
 	if r.RemoteRegion {
 		mean, hop = &m.far, otherRegionCost
 	}
+	if r.Failed {
+		// A server that fails fast must not look fast.
+		w.usedAt = now
+		m.learn(w, max(r.Served.Seconds(), failedFactor*m.expected()))
+		return
+	}
 	if r.Served <= 0 {
 		if r.HasWait {
 			mean.add(r.Wait.Seconds())
--- a/internal/request/gwentry/attempt.go
+++ b/internal/request/gwentry/attempt.go
@@ -148,7 +148,7 @@
 			report = res.answer.Report
 		}
 	}
-	c.report(target, start, res.answer, report)
+	c.report(ctx, res, start, report)
 	c.observe(start, gwstage.StageAttempt, res.refusal)
 	if res.answer != nil || cancelled(ctx) {
 		// A cancelled attempt is recorded with the time it has taken so far. Otherwise slow attempts that were overtaken
--- a/internal/request/gwentry/options.go
+++ b/internal/request/gwentry/options.go
@@ -46,6 +46,8 @@
 	Dispatcher *gwforward.DispatcherReport
 	// Served is how long the request was at the server, zero when it was refused; Took is how long the attempt took.
 	Served, Took time.Duration
+	// Failed is true when the request has failed at the server.
+	Failed bool
 	// AnswerBytes is the size of the answer, negative when it is not known.
 	AnswerBytes int64
 }
--- a/internal/request/gwentry/score.go
+++ b/internal/request/gwentry/score.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"time"
 
@@ -39,18 +40,21 @@
 }
 
 // report tells what an attempt that began at start has shown about a server of a cost-aware service.
-func (c *call) report(
-	target gw.Target, start time.Time, answer *gwforward.Answer, dispatcher *gwforward.DispatcherReport,
-) {
+func (c *call) report(ctx context.Context, res result, start time.Time, dispatcher *gwforward.DispatcherReport) {
 	if !c.choosesByScore() {
 		return
 	}
 	out := AttemptReport{Dispatcher: dispatcher, Took: time.Since(start), AnswerBytes: -1}
-	if answer != nil {
+	if answer := res.answer; answer != nil {
+		out.Failed = answer.Status >= http.StatusInternalServerError
 		out.Took, out.Served, out.AnswerBytes = answer.FirstByte.Sub(start), answer.Served, answer.Length()
 		if dispatcher != nil {
 			out.Served = dispatcher.Served
 		}
 	}
-	c.handler.opts.Reports(target, out)
+	if res.refusal != nil && !cancelled(ctx) {
+		// The end of a cancelled attempt, such as the slower one of a hedge, says nothing about the server.
+		out.Failed = res.refusal.Reason.Outcome() == gw.OutcomeUnknown
+	}
+	c.handler.opts.Reports(res.target, out)
 }
