gwchoice, gwentry: bytes stay in the data centre and the region while that serves callers as well

Cause: the share of large answers was learned for a service. Downloads of 90 KB that are sent to the servers of other services were judged by those services' small answers and crossed regions for 80 ms. Within a region, the random addition to a score was larger than the difference between data centres.

Change: answers of download routes count as large, and such a request leaves the region when its objective is in danger. Servers of this data centre are compared first and taken when one has a free slot and is not slow.

Also: the choice by score uses the regions that tenant and route have in common, as the choice without it does; the two branches had not met before.

--- a/internal/process/gwhost/adapters.go
+++ b/internal/process/gwhost/adapters.go
@@ -38,6 +38,7 @@
 ) (server gw.DirectoryServer, remoteRegion bool, refusal *gw.Refusal) {
 	chosen, refusal := c.chooser.ChooseByScore(req.Service, cells, gwchoice.Request{
 		Exclude: req.Exclude, Among: req.Asked, BodyBytes: req.BodyBytes,
+		LargeAnswer: req.LargeAnswer, Objective: req.Objective,
 	})
 	return chosen.Server, chosen.RemoteRegion, refusal
 }
--- a/internal/request/gwchoice/score.go
+++ b/internal/request/gwchoice/score.go
@@ -17,9 +17,15 @@
 	largeBytes = 16 << 10
 	largeCost  = 0.170
 	// Servers in another region are compared when the expected wait at the best one in this region exceeds
-	// crossRegionWait, or crossRegionWaitLarge with a large body.
+	// crossRegionWait. For a large body or answer it must exceed crossRegionWaitLarge and objectiveShare of the time that
+	// is left until the objective: moving 90 KB between regions costs more than a download is worth.
 	crossRegionWait      = 0.080
 	crossRegionWaitLarge = 0.250
+	objectiveShare       = 0.5
+	// Servers in other data centres of this region are compared when the best one in this data centre has a longer
+	// expected wait than crossDataCentreWait, or is slower than localSlowness. Bytes between data centres are paid for.
+	crossDataCentreWait = 0.020
+	localSlowness       = 1.5
 	// The mean of the random, exponential addition to a score as a share of the service time: freshJitter for a report
 	// that has just arrived, up to staleJitter more as it ages. Many hosts believe the same about a server, and without
 	// the addition they would all choose it; with it, servers of which nothing is known get shares by their speed. In the
@@ -37,8 +43,12 @@
 	// Exclude lists servers that are never chosen. Among, when it is not empty, lists the only servers of this region that
 	// may be chosen.
 	Exclude, Among []gw.ServerName
-	// BodyBytes is the size of the request body, negative when it is not known.
-	BodyBytes int64
+	// BodyBytes is the size of the request body, negative when it is not known. LargeAnswer is set when the answers of
+	// the route are large.
+	BodyBytes   int64
+	LargeAnswer bool
+	// Objective is when an answer loses most of its worth, zero when that is not known.
+	Objective time.Time
 }
 
 // Candidate is a server that may be chosen by score.
@@ -85,24 +95,40 @@
 	s.updateMedian(now)
 	for round := range 3 {
 		near := c.candidates(now, s, name, dirs, req, round, false)
-		best, ok := s.pick(now, near)
-		if !ok || best.Wait > crossRegionWaitOf(req.BodyBytes) {
+		if unused, ok := s.trial(now, near); ok {
+			return c.chosenByScore(name, unused), nil
+		}
+		best, ok := s.pick(now, slices.DeleteFunc(slices.Clone(near), func(candidate Candidate) bool {
+			return candidate.Cell.DataCentre != c.dataCentre
+		}))
+		if !ok || best.Wait > crossDataCentreWait || best.Slowness > localSlowness {
+			best, ok = s.pick(now, near)
+		}
+		if !ok || best.Wait > req.crossRegionWait(now) {
 			far := c.candidates(now, s, name, dirs, req, round, true)
 			best, ok = s.pick(now, append(near, far...))
 		}
 		if ok {
-			c.chosen.WithLabelValues(string(name), distanceNames[c.distanceOf(best)]).Inc()
-			return Choice{Server: best.Server, Cell: best.Cell, RemoteRegion: best.RemoteRegion}, nil
+			return c.chosenByScore(name, best), nil
 		}
 	}
 	return Choice{}, gw.Refuse(gw.ReasonNoServer, "no server of the service can be reached")
 }
 
-func crossRegionWaitOf(bodyBytes int64) float64 {
-	if bodyBytes < 0 || bodyBytes > largeBytes {
+func (c *Chooser) chosenByScore(name gw.ServiceName, best Candidate) Choice {
+	c.chosen.WithLabelValues(string(name), distanceNames[c.distanceOf(best)]).Inc()
+	return Choice{Server: best.Server, Cell: best.Cell, RemoteRegion: best.RemoteRegion}
+}
+
+// crossRegionWait returns the expected wait in this region above which servers in another region are compared.
+func (r Request) crossRegionWait(now time.Time) float64 {
+	if !r.LargeAnswer && r.BodyBytes >= 0 && r.BodyBytes <= largeBytes {
+		return crossRegionWait
+	}
+	if r.Objective.IsZero() {
 		return crossRegionWaitLarge
 	}
-	return crossRegionWait
+	return max(crossRegionWaitLarge, objectiveShare*r.Objective.Sub(now).Seconds())
 }
 
 func (c *Chooser) distanceOf(candidate Candidate) distance {
@@ -228,19 +254,25 @@
 	return out
 }
 
-// pick returns the candidate with the lowest score after a random addition, or at times one that was not used recently.
+// trial returns, at times, a candidate that was not used recently.
+func (s *service) trial(now time.Time, candidates []Candidate) (Candidate, bool) {
+	if len(candidates) == 0 || s.rng.IntN(trialInterval) != 0 {
+		return Candidate{}, false
+	}
+	unused := slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool {
+		return c.InFlight > 0 || now.Sub(c.usedAt) < unusedAfter
+	})
+	if len(unused) == 0 {
+		return Candidate{}, false
+	}
+	return unused[s.rng.IntN(len(unused))], true
+}
+
+// pick returns the candidate with the lowest score after a random addition.
 func (s *service) pick(now time.Time, candidates []Candidate) (best Candidate, ok bool) {
 	if len(candidates) == 0 {
 		return Candidate{}, false
 	}
-	if s.rng.IntN(trialInterval) == 0 {
-		unused := slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool {
-			return c.InFlight > 0 || now.Sub(c.usedAt) < unusedAfter
-		})
-		if len(unused) > 0 {
-			return unused[s.rng.IntN(len(unused))], true
-		}
-	}
 	lowest := 0.0
 	for i, c := range candidates {
 		score := c.Score + s.rng.ExpFloat64()*c.Service*(freshJitter+(1-freshness(now, c.ReportedAt))*staleJitter)
--- a/internal/request/gwchoice/score_test.go
+++ b/internal/request/gwchoice/score_test.go
@@ -200,3 +200,34 @@
 	s.dirs = s.dirs[1:]
 	require.Equal(t, 10, far(60_000), "the home region is elsewhere")
 }
+
+// Load: 90 KB downloads, whose bytes between data centres and regions are paid for, in a region with short queues.
+// Guards against downloads that are sent to another region, and requests to another data centre, for a gain that nobody
+// notices, and against a download that misses its objective in its own region.
+func TestBytesStayNear(t *testing.T) {
+	s := newScored(4, 1)
+	s.dirs = append(s.dirs, gw.Directory{
+		Cell: gw.CellID{Service: "labels", DataCentre: "dc3"}, Region: "r1", Servers: s.dirs[0].Servers[2:],
+	})
+	s.dirs[0].Servers = s.dirs[0].Servers[:2]
+	hear := func(wait time.Duration) {
+		for range 20 {
+			for _, name := range []gw.ServerName{"s0", "s1", "s2", "s3"} {
+				s.served(name, 100*time.Millisecond, wait)
+			}
+			s.served("s4", 100*time.Millisecond, 0)
+		}
+	}
+	remote := func(counts map[gw.ServerName]int) int { return counts["s4"] + counts["s5"] }
+	hear(0)
+	counts := s.choose(t, 20, gwchoice.Request{})
+	require.GreaterOrEqual(t, counts["s0"]+counts["s1"], 18, "this data centre has free slots")
+	hear(600 * time.Millisecond)
+	require.Positive(t, remote(s.choose(t, 20, gwchoice.Request{})), "a small request leaves the region")
+	hear(600 * time.Millisecond)
+	download := gwchoice.Request{LargeAnswer: true, Objective: s.clock.now.Add(4 * time.Second)}
+	require.Zero(t, remote(s.choose(t, 20, download)))
+	hear(600 * time.Millisecond)
+	download.Objective = s.clock.now.Add(time.Second)
+	require.Positive(t, remote(s.choose(t, 10, download)), "the objective would be missed")
+}
--- a/internal/request/gwentry/score.go
+++ b/internal/request/gwentry/score.go
@@ -18,7 +18,10 @@
 // nextByScore asks the router for the server with the best score. Servers that had no free slot are avoided while
 // others can be asked; after that the request waits at the best one of those that were asked, or in another region.
 func (c *call) nextByScore(ctx context.Context) (gw.Target, *gw.Refusal) {
-	req := gw.RouteRequest{HomeRegions: c.route.HomeRegions, BodyBytes: c.body.Size(), Exclude: c.exclude}
+	req := gw.RouteRequest{
+		HomeRegions: c.homes, BodyBytes: c.body.Size(), Exclude: c.exclude,
+		LargeAnswer: c.route.Kind == gw.RouteDownload, Objective: c.objective,
+	}
 	if len(c.search.busy) > 0 && c.search.canProbe() {
 		other := req
 		other.Exclude, other.NoWait = slices.Concat(c.exclude, c.search.busy), true
--- a/internal/request/gwentry/score_test.go
+++ b/internal/request/gwentry/score_test.go
@@ -27,7 +27,7 @@
 	router := &recordingRouter{target: gw.Target{Server: "d", RemoteRegion: true}}
 	c := &call{
 		handler: New(WithRouter(router), WithRegion("r1")), service: gw.Service{CostAware: true},
-		objective: time.Now().Add(time.Second), route: gw.Route{HomeRegions: []gw.RegionName{"r2"}},
+		objective: time.Now().Add(time.Second), homes: []gw.RegionName{"r2"},
 	}
 	target, refusal := c.nextTarget(t.Context())
 	require.Nil(t, refusal)
--- a/request.go
+++ b/request.go
@@ -22,6 +22,10 @@
 	NoWait bool
 	// BodyBytes is the size of the request body, negative when it is not known. It counts for a cost-aware service.
 	BodyBytes int64
+	// LargeAnswer is set when the answers of the route are large. Objective is when an answer loses most of its worth,
+	// zero when that is not known. They count for a cost-aware service.
+	LargeAnswer bool
+	Objective   time.Time
 	// Stale is the highest token that a server has refused as stale in an earlier attempt.
 	Stale Revision
 }
