--- a/internal/standin/gwscene/scene.go
+++ b/internal/standin/gwscene/scene.go
@@ -255,6 +255,18 @@
 	return 0, eris.Wrapf(ErrNoProcess, "memory of %s", name)
 }
 
+// Descriptors returns the number of descriptors that a running process has open.
+func (s *Scene) Descriptors(name string) (int, error) {
+	s.mu.Lock()
+	p, ok := s.procs[name]
+	s.mu.Unlock()
+	if !ok {
+		return 0, eris.Wrapf(ErrNoProcess, "descriptors of %s", name)
+	}
+	open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
+	return len(open), eris.Wrapf(err, "descriptors of %s", name)
+}
+
 // Wait waits until a process has ended and returns its error, or that of ctx.
 func (s *Scene) Wait(ctx context.Context, name string) error {
 	s.mu.Lock()
