Memory budget, connections, header lines and empty lines of callers

Cause: read-ahead parses heads with any number of lines and keeps them until their turn, bodies of up to 512 KiB are buffered on every connection, and connections are bounded by nothing.

Change: gwpipeline.Budget counts the head that arrives, what is read ahead, requests begun before their turn, the buffer of the body and answers that are being written, and closes the connection that gwbudget names, with a log line and geraniumworks_callers_turned_away_total. Limits follow from the new settings memory-megabytes and descriptors, which the platform's template fills in; without them all is as before. With memory-megabytes the Go runtime also gets a soft limit of 7/10 of it. Header lines are limited by net/http (Go 1.27 and later), 5,461 instead of its default of 500 when memory-megabytes is set, since that many fit into 16,384 bytes. The finder leaves heads with line ends without CR to net/http: it took the body of such a request for requests, and could begin one that no caller had sent.

The test's settings now name the memory and the descriptors; callers and bounds are as they were.

--- a/cmd/geraniumworks/main.go
+++ b/cmd/geraniumworks/main.go
@@ -59,6 +59,9 @@
 		debug.SetGCPercent(platformGCPercent)
 		options = append(options, gwhost.WithBackend(platformBackend(settings)))
 	}
+	if limit := settings.MemoryLimit(); limit > 0 {
+		debug.SetMemoryLimit(limit)
+	}
 	log := settings.NewLog(c.stdout)
 	options = append(options, gwhost.WithCollectors(log.Collector()))
 	host, err := gwhost.New(settings, slog.New(log), options...)
--- a/e2e/callers_test.go
+++ b/e2e/callers_test.go
@@ -22,8 +22,8 @@
 )
 
 const (
-	// callersSettings is the settings file of the host under test.
-	callersSettings = `{}`
+	// callersSettings is the settings file of the host under test: the smallest machine, with few descriptors.
+	callersSettings = `{"memory-megabytes": 144, "descriptors": 700}`
 	// callersMaxBytes is the memory of the smallest entry host. It bounds the resident size of the process.
 	callersMaxBytes = 144 << 20
 	// callersMaxDescriptors bounds the open descriptors of the process.
--- a/internal/connection/gwpipeline/conn.go
+++ b/internal/connection/gwpipeline/conn.go
@@ -3,12 +3,15 @@
 package gwpipeline
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net"
 	"net/http"
 	"os"
 	"sync"
+
+	"github.com/geraniumworks/geraniumworks/internal/connection/gwbudget"
 )
 
 // maxAheadBytes bounds what is read ahead on one connection. Beyond it the caller has to wait, and its leaving is
@@ -36,15 +39,27 @@
 	net.Listener
 	// Start begins to work on requests before their turn. Nil leaves them waiting.
 	Start Starter
+	// Budget bounds what the connections hold. It may be nil.
+	Budget *Budget
 }
 
 // Accept implements net.Listener.
 func (l Listener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := NewConn(conn, l.Start)
+		if l.Budget == nil {
+			return c, nil
+		}
+		c.budget = l.Budget
+		c.finder.maxLines, c.finder.maxEmpty = l.Budget.limits.HeaderLines, l.Budget.limits.EmptyLines
+		if l.Budget.open(c) {
+			return c, nil
+		}
 	}
-	return NewConn(conn, l.Start), nil
 }
 
 // Conn is a connection of a caller.
@@ -55,6 +70,9 @@
 type Conn struct {
 	net.Conn
 	start Starter
+	// budget bounds what is held, nil when nothing does. account is that of the connection.
+	budget  *Budget
+	account *gwbudget.Account
 	// left ends when the caller has closed the connection, or it has failed or was closed here.
 	left  context.Context
 	leave context.CancelFunc
@@ -74,6 +92,8 @@
 	handling bool
 	// pending holds the requests that are worked on before their turn, by their number on the connection.
 	pending map[int]Pending
+	// held is what the budget counts.
+	held holding
 }
 
 // NewConn returns a Conn on a connection. start may be nil.
@@ -90,7 +110,10 @@
 		switch {
 		case len(c.ahead) > 0:
 			n := copy(p, c.ahead)
-			c.ahead = c.ahead[n:]
+			if c.ahead = c.ahead[n:]; len(c.ahead) == 0 {
+				c.ahead = nil
+			}
+			c.countHead(p[:n])
 			c.mu.Unlock()
 			return n, nil
 		case c.err != nil:
@@ -120,6 +143,7 @@
 	}
 	c.mu.Lock()
 	c.find(p[:n])
+	c.countHead(p[:n])
 	if n == 1 && len(p) == 1 && err == nil {
 		c.reading = make(chan struct{})
 		go c.readAhead(c.reading)
@@ -128,6 +152,19 @@
 	return n, err
 }
 
+// countHead counts what net/http reads while no request is worked on, which is the next head and what is left of a body.
+// The caller holds mu.
+func (c *Conn) countHead(data []byte) {
+	if c.budget == nil {
+		return
+	}
+	if !c.handling {
+		c.held.headBytes += len(data)
+		c.held.headLines += bytes.Count(data, lineEnd)
+	}
+	c.report()
+}
+
 // readAhead reads until the connection ends, a read deadline passes or the buffer is full, and then closes done.
 func (c *Conn) readAhead(done chan<- struct{}) {
 	defer close(done)
@@ -136,10 +173,18 @@
 		n, err := c.Conn.Read(buf)
 		c.mu.Lock()
 		c.find(buf[:n])
+		if c.budget != nil && c.finder.tooManyEmpty() {
+			// net/http refuses the empty lines that are in the buffer when their turn comes.
+			c.budget.note(c.Conn, reasonEmptyLines)
+			n, err = 0, errEmptyLines
+		}
 		c.ahead = append(c.ahead, buf[:n]...)
+		c.report()
 		// A deadline that passes ends a read of net/http, not the connection.
 		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			c.err = err
+		}
+		if c.err != nil && !errors.Is(c.err, errEmptyLines) {
 			c.leave()
 		}
 		stop := err != nil || len(c.ahead) >= maxAheadBytes
@@ -159,7 +204,7 @@
 
 // find looks for requests in what was read, and starts those that have to wait for their turn. The caller holds mu.
 func (c *Conn) find(data []byte) {
-	if c.start == nil {
+	if c.start == nil && c.budget == nil {
 		return
 	}
 	c.finder.add(data)
@@ -169,7 +214,7 @@
 			return
 		}
 		// The turn of the request comes at once if no other one is under way.
-		if number == c.begun+1 && !c.handling || len(c.pending) >= maxPending {
+		if number == c.begun+1 && !c.handling || c.start == nil || len(c.pending) >= maxPending {
 			continue
 		}
 		r := head.request()
@@ -178,14 +223,30 @@
 		}
 		if p := c.start(c.left, r); p != nil {
 			c.pending[number] = p
+			c.holdPending(number, head)
 		}
 	}
 }
 
+// holdPending counts a request that was begun before its turn. The caller holds mu.
+func (c *Conn) holdPending(number int, h head) {
+	if c.budget == nil {
+		return
+	}
+	if c.held.pending == nil {
+		c.held.pending = map[int]int64{}
+	}
+	c.held.pending[number] = gwbudget.HeadBytes(len(h), bytes.Count(h, lineEnd)) + requestBytes + answerBytes
+	c.report()
+}
+
 // Close implements net.Conn. It returns when nothing is read ahead any more.
 func (c *Conn) Close() error {
 	err := c.Conn.Close()
 	c.leave()
+	if c.budget != nil {
+		c.budget.close(c.account)
+	}
 	c.mu.Lock()
 	reading, pending := c.reading, c.pending
 	c.pending = map[int]Pending{}
@@ -237,6 +298,12 @@
 	c.handling = true
 	turn.Pending = c.pending[c.begun]
 	delete(c.pending, c.begun)
+	if c.budget != nil {
+		c.held.current = c.held.pending[c.begun]
+		delete(c.held.pending, c.begun)
+		c.budget.setBusy(c.account, true)
+		c.report()
+	}
 	return ctx, turn
 }
 
@@ -259,4 +326,10 @@
 	t.conn.mu.Lock()
 	defer t.conn.mu.Unlock()
 	t.conn.handling = false
+	if t.conn.budget != nil {
+		pending := t.conn.held.pending
+		t.conn.held = holding{pending: pending, reported: t.conn.held.reported, writing: t.conn.held.writing}
+		t.conn.budget.setBusy(t.conn.account, false)
+		t.conn.report()
+	}
 }
--- a/internal/connection/gwpipeline/finder.go
+++ b/internal/connection/gwpipeline/finder.go
@@ -6,8 +6,13 @@
 	"net/http"
 )
 
-// headEnd ends the head of a request.
-var headEnd = []byte("\r\n\r\n")
+var (
+	// headEnd ends the head of a request.
+	headEnd = []byte("\r\n\r\n")
+	lineEnd = []byte("\n")
+	// fullLineEnd ends a line. net/http also accepts lineEnd alone.
+	fullLineEnd = []byte("\r\n")
+)
 
 // finder finds the heads of requests in the bytes of a connection. net/http reads and checks the same bytes again
 // when the turn of a request comes; what is unusual is left to it.
@@ -20,6 +25,13 @@
 	found int
 	// lost is set when the next request cannot be told from what is before it.
 	lost bool
+	// scanned is the number of bytes of buf in which no head ends.
+	scanned int
+	// maxLines bounds the lines of a head, maxEmpty the empty lines before one. Zero means no bound.
+	maxLines, maxEmpty int
+	// blank is set while only empty lines have come since the last request, empty counts them.
+	blank bool
+	empty int
 }
 
 // head is the head of a request as it was sent.
@@ -28,6 +40,7 @@
 // add takes in what was read next.
 func (f *finder) add(data []byte) {
 	if f.lost {
+		f.countEmpty(data)
 		return
 	}
 	n := min(f.skip, int64(len(data)))
@@ -35,21 +48,58 @@
 	f.buf = append(f.buf, data[n:]...)
 }
 
+// countEmpty counts empty lines before a request.
+func (f *finder) countEmpty(data []byte) {
+	for i := 0; i < len(data) && f.blank; i++ {
+		switch data[i] {
+		case '\n':
+			f.empty++
+		case '\r':
+		default:
+			f.blank = false
+		}
+	}
+}
+
+// tooManyEmpty reports whether there were more empty lines before a request than permitted.
+func (f *finder) tooManyEmpty() bool {
+	return f.maxEmpty > 0 && f.empty > f.maxEmpty
+}
+
+// lose gives up. net/http goes on with what is unusual.
+func (f *finder) lose() {
+	f.lost, f.buf = true, nil
+}
+
 // next returns the next request and its number on the connection, and false when its head has not arrived.
 func (f *finder) next() (int, head, bool) {
 	if f.lost || len(f.buf) == 0 {
 		return 0, nil, false
 	}
-	end := bytes.Index(f.buf, headEnd)
+	if f.buf[0] == '\r' || f.buf[0] == '\n' {
+		f.blank = true
+		f.countEmpty(f.buf)
+		f.lose()
+		return 0, nil, false
+	}
+	end := bytes.Index(f.buf[f.scanned:], headEnd)
 	if end < 0 {
-		f.lost = len(f.buf) > maxAheadBytes
+		if f.scanned = max(0, len(f.buf)-len(headEnd)+1); len(f.buf) > maxAheadBytes {
+			f.lose()
+		}
 		return 0, nil, false
 	}
+	end += f.scanned
+	f.scanned = 0
 	found := head(bytes.Clone(f.buf[:end+len(headEnd)]))
+	if !found.usual(f.maxLines) {
+		f.lose()
+		return 0, nil, false
+	}
 	f.found++
 	length, ok := found.bodyLength()
 	if !ok {
-		f.lost, f.buf = true, nil
+		f.lose()
 		return f.found, found, true
 	}
 	rest := f.buf[len(found):]
@@ -63,6 +113,14 @@
 	return f.found, found, true
 }
 
+// usual reports whether a head has at most maxLines lines, and lines that all end in CR and LF. net/http ends a head at
+// an empty line without CR too: what follows would be taken for header lines here, and a body for requests.
+func (h head) usual(maxLines int) bool {
+	lines := bytes.Count(h, lineEnd)
+	// The request line and the empty line are no header lines.
+	return lines == bytes.Count(h, fullLineEnd) && (maxLines <= 0 || lines-2 <= maxLines)
+}
+
 // bodyLength returns the length of the body in bytes, and false when the head does not tell it.
 func (h head) bodyLength() (int64, bool) {
 	if bytes.HasPrefix(h, []byte("GET ")) {
--- /dev/null
+++ b/internal/process/gwhost/callers.go
@@ -0,0 +1,28 @@
+package gwhost
+
+import (
+	"github.com/geraniumworks/geraniumworks/internal/connection/gwpipeline"
+	"github.com/geraniumworks/geraniumworks/internal/request/gwentry"
+)
+
+// addedHeaderLines is above the number of header lines that an entry host adds to a request for a relay.
+const addedHeaderLines = 64
+
+// callerBudget returns the budget for connections of callers.
+func (h *Host) callerBudget() *gwpipeline.Budget {
+	limits := h.settings.Load().CallerLimits()
+	return gwpipeline.NewBudget(gwpipeline.Limits{
+		Bytes: limits.HeldBytes(), Connections: limits.Connections, HeaderBytes: gwentry.DefaultHeaderBytes,
+		HeaderLines: limits.HeaderLines, EmptyLines: limits.EmptyLines,
+	}, h.log, h.registry)
+}
+
+// relayHeaderLines returns the largest number of header lines of a request from another host, zero for the limit of
+// net/http. Hosts of different memory have the same limit for callers unless the settings say otherwise.
+func (h *Host) relayHeaderLines() int {
+	lines := h.settings.Load().CallerLimits().HeaderLines
+	if lines == 0 {
+		return 0
+	}
+	return lines + addedHeaderLines
+}
--- a/internal/process/gwhost/host.go
+++ b/internal/process/gwhost/host.go
@@ -15,6 +15,7 @@
 
 	gw "github.com/geraniumworks/geraniumworks"
 	"github.com/geraniumworks/geraniumworks/internal/connection/gwpeer"
+	"github.com/geraniumworks/geraniumworks/internal/connection/gwpipeline"
 	"github.com/geraniumworks/geraniumworks/internal/connection/gwpool"
 	"github.com/geraniumworks/geraniumworks/internal/connection/gwsocket"
 	"github.com/geraniumworks/geraniumworks/internal/process/gwadmin"
@@ -56,6 +57,7 @@
 	relay        *gwrelay.Relay
 	pools        []*gwpool.Pool
 	entry        *gwentry.Handler
+	callers      *gwpipeline.Budget
 	control      *gwcontrol.Loop
 	admin        *gwadmin.API
 	reach        *gwreach.Reach
@@ -111,6 +113,7 @@
 		return nil, err
 	}
 	h.buildRequestPath()
+	h.callers = h.callerBudget()
 	h.buildControl()
 	h.registerAges()
 	return h, nil
--- a/internal/process/gwhost/listener_test.go
+++ b/internal/process/gwhost/listener_test.go
@@ -35,7 +35,7 @@
 	failing := &failingListener{l, []error{syscall.EMFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EPROTO}}
 	h := &Host{log: slog.New(slog.DiscardHandler)}
 	var group run.Group
-	h.addHTTP(&group, lastingListener{failing, h.log}, http.NotFoundHandler(), 1<<10)
+	h.addHTTP(&group, lastingListener{failing, h.log}, http.NotFoundHandler(), 1<<10, 0)
 	ctx, cancel := context.WithCancel(t.Context())
 	addLoop(&group, func(c context.Context) error {
 		select {
@@ -64,7 +64,7 @@
 	for range 4 {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(t, err)
-		h.addHTTP(&group, l, http.NotFoundHandler(), 1<<10)
+		h.addHTTP(&group, l, http.NotFoundHandler(), 1<<10, 0)
 		conn, err := net.Dial("tcp", l.Addr().String())
 		require.NoError(t, err)
 		t.Cleanup(func() { _ = conn.Close() })
--- a/internal/process/gwhost/run.go
+++ b/internal/process/gwhost/run.go
@@ -46,12 +46,13 @@
 		addLoop(&group, pool.Run)
 	}
 	h.addPeers(&group, listeners.peers)
-	callers := gwpipeline.Listener{Listener: listeners.callers, Start: h.entry.StartPipelined}
-	h.addHTTP(&group, callers, h.entry, gwentry.DefaultHeaderBytes)
-	h.addHTTP(&group, h.requireTLS(listeners.relay), h.relay, relayHeaderBytes)
-	h.addHTTP(&group, listeners.operators, h.operatorsHandler(), relayHeaderBytes)
+	callers := gwpipeline.Listener{Listener: listeners.callers, Start: h.entry.StartPipelined, Budget: h.callers}
+	headerLines := h.settings.Load().CallerLimits().HeaderLines
+	h.addHTTP(&group, callers, h.entry, gwentry.DefaultHeaderBytes, headerLines)
+	h.addHTTP(&group, h.requireTLS(listeners.relay), h.relay, relayHeaderBytes, h.relayHeaderLines())
+	h.addHTTP(&group, listeners.operators, h.operatorsHandler(), relayHeaderBytes, 0)
 	if listeners.readiness != nil {
-		h.addHTTP(&group, listeners.readiness, h.readinessHandler(), relayHeaderBytes)
+		h.addHTTP(&group, listeners.readiness, h.readinessHandler(), relayHeaderBytes, 0)
 	}
 	h.log.Info("process started",
 		"callers", listeners.callers.Addr().String(), "operators", listeners.operators.Addr().String())
@@ -119,8 +120,9 @@
 	addLoop(group, func(ctx context.Context) error { return server.Serve(ctx, listener) })
 }
 
-func (h *Host) addHTTP(group *run.Group, listener net.Listener, handler http.Handler, headerBytes int) {
+func (h *Host) addHTTP(group *run.Group, listener net.Listener, handler http.Handler, headerBytes, headerLines int) {
 	server := gwforward.NewServer(handler, headerBytes)
+	gwforward.LimitHeaderLines(server, headerLines)
 	closed := make(chan struct{})
 	group.Add(func() error {
 		err := server.Serve(listener)
--- a/internal/process/gwsettings/settings.go
+++ b/internal/process/gwsettings/settings.go
@@ -38,6 +38,12 @@
 	// Hosts with more get more work for others; zero means that it is not known.
 	Cores        float64 `json:"cores,omitempty"`
 	LinkMegabits float64 `json:"link-megabits,omitempty"`
+	// MemoryMegabytes and Descriptors are the memory and the file descriptors of the machine, from which the limits of
+	// callers are derived. Zero means that they are not known.
+	MemoryMegabytes float64 `json:"memory-megabytes,omitempty"`
+	Descriptors     int     `json:"descriptors,omitempty"`
+	// Callers are limits that replace the derived ones.
+	Callers Callers `json:"callers,omitzero"`
 	// DrainMilliseconds is the time between the moment at which a stopping process reports that it is not ready
 	// and the moment at which it refuses new requests. It is longer than the balancer takes to notice.
 	DrainMilliseconds int64 `json:"drain-milliseconds"`
@@ -219,6 +225,7 @@
 	if s.LinkMegabits < 0 {
 		fail("link-megabits", "is negative", "Mbit/s, 0 when they are not known")
 	}
+	s.checkCallers(fail)
 	s.checkStop(fail)
 	return errs
 }
--- a/internal/request/gwforward/receive.go
+++ b/internal/request/gwforward/receive.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	gw "github.com/geraniumworks/geraniumworks"
+	"github.com/geraniumworks/geraniumworks/internal/connection/gwpipeline"
 )
 
 // MaxBufferedBytes is the size up to which request bodies are read into memory before the request is sent. Such a
@@ -37,6 +38,22 @@
 	return in.Header.Get(gw.HeaderConsent) == "true"
 }
 
+// heldReader reads the body of a request into a buffer and reports the size of the buffer when it has grown.
+type heldReader struct {
+	in   *http.Request
+	buf  *bytes.Buffer
+	held int
+}
+
+// Read implements io.Reader.
+func (r *heldReader) Read(p []byte) (int, error) {
+	if n := r.buf.Cap(); n != r.held {
+		r.held = n
+		gwpipeline.HoldBody(r.in.Context(), int64(n))
+	}
+	return r.in.Body.Read(p)
+}
+
 // Receive reads a small body of a request into memory and prepares larger ones for streaming. It returns nil for a
 // request without a body, ErrBodyTooLarge for a body above limit, and ErrBodyFailed when the body does not arrive.
 func Receive(in *http.Request, limit int64, mode BodyMode) (*Body, error) {
@@ -56,7 +73,7 @@
 	}
 	// The buffer grows as data arrives, so that a body that is declared and not sent occupies no memory.
 	buf := bytes.NewBuffer(make([]byte, 0, first+bytes.MinRead))
-	_, err := io.CopyN(buf, in.Body, MaxBufferedBytes+1)
+	_, err := io.CopyN(buf, &heldReader{in: in, buf: buf}, MaxBufferedBytes+1)
 	switch {
 	case err == nil:
 		return Streamed(io.MultiReader(bytes.NewReader(buf.Bytes()), in.Body), n, limit, false), nil
--- a/internal/request/gwforward/server.go
+++ b/internal/request/gwforward/server.go
@@ -37,6 +37,13 @@
 	}
 }
 
+// LimitHeaderLines sets the largest number of header lines of a request. Zero leaves the limit of net/http.
+func LimitHeaderLines(server *http.Server, lines int) {
+	if lines > 0 {
+		setMaxHeaderValues(server, lines)
+	}
+}
+
 // StopAccepting closes listeners and then lets their servers refuse the requests that have arrived on open connections.
 // It is called before http.Server.Shutdown, after which net/http closes a connection without an answer when it reads
 // a request. The handlers must already refuse new requests.
