--- a/internal/connection/gwpipeline/conn.go
+++ b/internal/connection/gwpipeline/conn.go
@@ -87,6 +87,8 @@
 	more chan struct{}
 
 	finder finder
+	// unchecked is the head of a request that net/http has not begun to work on, nil when it was checked.
+	unchecked head
 	// begun counts the requests whose turn has come, and handling is set during the turn of the last one.
 	begun    int
 	handling bool
@@ -209,21 +211,30 @@
 	}
 	c.finder.add(data)
 	for {
-		number, head, ok := c.finder.next()
+		number, h, ok := c.finder.next()
 		if !ok {
 			return
 		}
-		// The turn of the request comes at once if no other one is under way.
-		if number == c.begun+1 && !c.handling || c.start == nil || len(c.pending) >= maxPending {
+		if c.start == nil {
 			continue
 		}
-		r := head.request()
-		if r == nil {
+		if number == c.begun+1 && !c.handling {
+			// The turn of the request comes at once, and net/http checks it.
+			c.unchecked = h
+			continue
+		}
+		r, ended := h.request(), c.unchecked.endsConnection()
+		c.unchecked = nil
+		if r == nil || r.Close || ended {
+			// net/http reads nothing behind a request that it refuses, or that is the last one.
+			c.finder.lose()
+		}
+		if r == nil || ended || len(c.pending) >= maxPending {
 			continue
 		}
 		if p := c.start(c.left, r); p != nil {
 			c.pending[number] = p
-			c.holdPending(number, head)
+			c.holdPending(number, h)
 		}
 	}
 }
@@ -296,6 +307,7 @@
 	defer c.mu.Unlock()
 	c.begun++
 	c.handling = true
+	c.unchecked = nil
 	turn.Pending = c.pending[c.begun]
 	delete(c.pending, c.begun)
 	if c.budget != nil {
--- a/internal/connection/gwpipeline/finder.go
+++ b/internal/connection/gwpipeline/finder.go
@@ -144,3 +144,12 @@
 	}
 	return r
 }
+
+// endsConnection reports whether net/http refuses a head, or answers it and then closes the connection.
+func (h head) endsConnection() bool {
+	if h == nil {
+		return false
+	}
+	r := h.request()
+	return r == nil || r.Close
+}
