Bodies from other hosts, connections to a relay; docs of the limits of callers

Cause: a dispatcher bounds nothing of the bodies that many hosts send it.

Connections to one relay are at most a quarter of the descriptors. Without any limit connections are not counted.

--- a/internal/connection/gwbudget/ledger.go
+++ b/internal/connection/gwbudget/ledger.go
@@ -10,8 +10,8 @@
 // stack of its goroutine.
 const ConnectionBytes = 16 << 10
 
-// lineBytes is the cost of a header line besides its bytes: an entry of the map, its slice of values, and the same again
-// in the copy that is passed on.
+// lineBytes is the cost of a header line besides its bytes: an entry of the map, its slice of values, and the same
+// again in the copy that is passed on.
 const lineBytes = 250
 
 // HeadBytes returns the cost of the head of a request that has the given number of bytes and lines. Bytes count twice,
@@ -40,9 +40,9 @@
 	open      bool
 }
 
-// Ledger keeps the accounts of all connections. It addresses callers that hold much for long: thousands of header lines,
-// bodies that do not end, responses that are not read, and connections on which nothing is asked. When a limit is
-// exceeded, the connection with the largest product of memory and time is turned away first.
+// Ledger keeps the accounts of all connections. It addresses callers that hold much for long: thousands of header
+// lines, bodies that do not end, responses that are not read, and connections on which nothing is asked. When a limit
+// is exceeded, the connection with the largest product of memory and time is turned away first.
 //
 // A Ledger has no clock and no lock. What is turned away no longer counts, although it is released a little later.
 type Ledger struct {
@@ -62,8 +62,8 @@
 // Connections returns the number of open connections.
 func (l *Ledger) Connections() int { return len(l.accounts) }
 
-// Open adds a connection. It also returns the connections that are turned away. When there are too many, that is the one
-// on which nothing has been worked on for the longest time, and the new one when all are busy.
+// Open adds a connection. It also returns the connections that are turned away. When there are too many, that is the
+// one on which nothing has been worked on for the longest time, and the new one when all are busy.
 func (l *Ledger) Open(now time.Time) (opened *Account, turnedAway []*Account) {
 	opened = &Account{changed: now, idleSince: now, open: true}
 	l.accounts[opened] = struct{}{}
--- a/internal/connection/gwpipeline/budget.go
+++ b/internal/connection/gwpipeline/budget.go
@@ -83,6 +83,12 @@
 	return b
 }
 
+// limited reports whether there is any limit. Without one, connections are not counted.
+func (b *Budget) limited() bool {
+	l := b.limits
+	return l.Bytes > 0 || l.Connections > 0 || l.HeaderLines > 0 || l.EmptyLines > 0
+}
+
 // Held returns the estimated memory of all connections, in bytes, and their number.
 func (b *Budget) Held() (bytes int64, connections int) {
 	b.mu.Lock()
--- a/internal/connection/gwpipeline/conn.go
+++ b/internal/connection/gwpipeline/conn.go
@@ -51,7 +51,7 @@
 			return nil, err
 		}
 		c := NewConn(conn, l.Start)
-		if l.Budget == nil {
+		if l.Budget == nil || !l.Budget.limited() {
 			return c, nil
 		}
 		c.budget = l.Budget
--- a/internal/process/gwhost/callers.go
+++ b/internal/process/gwhost/callers.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/geraniumworks/geraniumworks/internal/connection/gwpipeline"
+	"github.com/geraniumworks/geraniumworks/internal/process/gwsettings"
 	"github.com/geraniumworks/geraniumworks/internal/request/gwentry"
 )
 
@@ -26,3 +27,13 @@
 	}
 	return lines + addedHeaderLines
 }
+
+// relayConnections returns the largest number of connections to one relay: a quarter of the descriptors that are not
+// for files, where that is less than the default. Requests that callers pipeline open far more than callers do.
+func (h *Host) relayConnections() int {
+	descriptors := h.settings.Load().Descriptors
+	if descriptors == 0 {
+		return gwentry.DefaultRelayConnections
+	}
+	return min(gwentry.DefaultRelayConnections, (descriptors-gwsettings.ReservedDescriptors)/4)
+}
--- a/internal/process/gwhost/host.go
+++ b/internal/process/gwhost/host.go
@@ -160,6 +160,7 @@
 		gwrelay.WithBarred(h.blocked),
 		gwrelay.WithLeaving(h.members.ReportLeaving),
 		gwrelay.WithReach(h.reach),
+		gwrelay.WithBodyBytes(h.settings.Load().RelayBodyBytes()),
 		gwrelay.WithLogger(h.log),
 		gwrelay.WithRegisterer(h.registry),
 	)
@@ -180,6 +181,7 @@
 		gwentry.WithRouter(router),
 		gwentry.WithRegion(h.self.Region),
 		gwentry.WithLocal(h.relay),
+		gwentry.WithRelayConnections(h.relayConnections()),
 		gwentry.WithAdmission(admissionAdapter{h.admitter}),
 		gwentry.WithObserver(chooser),
 		gwentry.WithLeaving(h.members.ReportLeaving),
--- a/internal/process/gwsettings/callers.go
+++ b/internal/process/gwsettings/callers.go
@@ -4,12 +4,16 @@
 	"fmt"
 )
 
+// ReservedDescriptors are kept for files.
+const ReservedDescriptors = 200
+
 const (
-	// reservedDescriptors are kept for files.
-	reservedDescriptors = 200
 	// memoryShare is the part of the memory that callers may hold, as its inverse. The heap grows to 1.8 times what is in
 	// use, and a process without callers has up to 60 MB: 144 MB leave 46 MB for callers.
 	memoryShare = 5
+	// relayShare is the part that bodies of requests from other hosts may hold, as its inverse: 14 MB of 144 MB are 120
+	// bodies of 60 KB.
+	relayShare = 10
 	// connectionKilobytes is the memory of a connection on which nothing is received.
 	connectionKilobytes = 16
 	// defaultHeaderLines is the number of lines of three bytes, the shortest ones, in a head of 16,384 bytes.
@@ -45,7 +49,7 @@
 	c := s.Callers
 	if s.Descriptors > 0 && c.Connections == 0 {
 		// The other half is for connections to servers, hosts and the store.
-		c.Connections = (s.Descriptors - reservedDescriptors) / 2
+		c.Connections = (s.Descriptors - ReservedDescriptors) / 2
 	}
 	if s.MemoryMegabytes <= 0 {
 		return c
@@ -75,12 +79,17 @@
 	return int64(s.MemoryMegabytes * bytesPerMegabyte * 7 / 10)
 }
 
+// RelayBodyBytes returns the bound of the bodies of requests from other hosts in bytes, zero when there is none.
+func (s Settings) RelayBodyBytes() int64 {
+	return int64(s.MemoryMegabytes * bytesPerMegabyte / relayShare)
+}
+
 func (s Settings) checkCallers(fail func(field, problem, allowed string)) {
 	if s.MemoryMegabytes != 0 && s.MemoryMegabytes < minMemoryMegabytes {
 		fail("memory-megabytes", "is too small", fmt.Sprintf("%d or more, 0 when it is not known", minMemoryMegabytes))
 	}
-	if s.Descriptors != 0 && s.Descriptors < 2*reservedDescriptors {
-		fail("descriptors", "is too small", fmt.Sprintf("%d or more, 0 when they are not known", 2*reservedDescriptors))
+	if s.Descriptors != 0 && s.Descriptors < 2*ReservedDescriptors {
+		fail("descriptors", "is too small", fmt.Sprintf("%d or more, 0 when they are not known", 2*ReservedDescriptors))
 	}
 	for _, each := range []struct {
 		name  string
@@ -94,9 +103,9 @@
 			fail("callers."+each.name, "is negative", "1 or more, 0 for the default")
 		}
 	}
-	if s.Descriptors > 0 && s.Callers.Connections > s.Descriptors-reservedDescriptors {
+	if s.Descriptors > 0 && s.Callers.Connections > s.Descriptors-ReservedDescriptors {
 		fail("callers.connections", "is above the descriptors",
-			fmt.Sprintf("at most descriptors less %d", reservedDescriptors))
+			fmt.Sprintf("at most descriptors less %d", ReservedDescriptors))
 	}
 	if s.Callers.HeldMegabytes < 0 {
 		fail("callers.held-megabytes", "is negative", "a number of megabytes, 0 for the default")
--- a/internal/request/gwrelay/options.go
+++ b/internal/request/gwrelay/options.go
@@ -27,6 +27,7 @@
 	Reach      gw.Reach
 	Logger     *slog.Logger
 	Registerer prometheus.Registerer
+	BodyBytes  int64
 }
 
 // Option changes a setting.
@@ -79,3 +80,8 @@
 func WithReach(r gw.Reach) Option {
 	return func(o *Options) { o.Reach = r }
 }
+
+// WithBodyBytes bounds the memory of the bodies of requests from other hosts, in bytes. By default it is not bounded.
+func WithBodyBytes(n int64) Option {
+	return func(o *Options) { o.BodyBytes = n }
+}
--- a/internal/request/gwrelay/relay.go
+++ b/internal/request/gwrelay/relay.go
@@ -24,6 +24,7 @@
 	gate    gwforward.Gate
 	results *prometheus.CounterVec
 	times   *gwstage.Times
+	bodies  bodies
 }
 
 // New returns a Relay.
@@ -45,7 +46,8 @@
 			Namespace: "geraniumworks", Subsystem: "relay", Name: "attempts_total",
 			Help: "Attempts at servers, by outcome and by reason when there was no answer.",
 		}, []string{"outcome", "reason"}),
-		times: gwstage.New(o.Registerer, "relay", "service"),
+		times:  gwstage.New(o.Registerer, "relay", "service"),
+		bodies: bodies{limit: o.BodyBytes},
 	}
 }
 
@@ -238,6 +240,11 @@
 		// be refused.
 		refusal = r.opts.Dispatcher.Preview(slotRequest(req))
 	}
+	release := func() {}
+	if refusal == nil {
+		release, refusal = r.bodies.reserve(in)
+	}
+	defer release()
 	if refusal == nil {
 		refusal = receive(rc, req, in)
 	}
