--- a/internal/connection/gwbudget/ledger.go
+++ b/internal/connection/gwbudget/ledger.go
@@ -143,8 +143,8 @@
 	}
 }
 
-// worse reports whether a connection has held more than another. Those that began at the same moment differ by what they
-// hold now.
+// worse reports whether a connection has held more than another. Those that began at the same moment differ by what
+// they hold now.
 func (a *Account) worse(than *Account) bool {
 	if a.heldTime != than.heldTime {
 		return a.heldTime > than.heldTime
--- a/internal/connection/gwpipeline/conn.go
+++ b/internal/connection/gwpipeline/conn.go
@@ -154,8 +154,8 @@
 	return n, err
 }
 
-// countHead counts what net/http reads while no request is worked on, which is the next head and what is left of a body.
-// The caller holds mu.
+// countHead counts what net/http reads while no request is worked on, which is the next head and what is left of a
+// body. The caller holds mu.
 func (c *Conn) countHead(data []byte) {
 	if c.budget == nil {
 		return
--- a/internal/process/gwsettings/callers.go
+++ b/internal/process/gwsettings/callers.go
@@ -43,8 +43,8 @@
 	return int64(c.HeldMegabytes * bytesPerMegabyte)
 }
 
-// CallerLimits returns the limits in force. Those that are neither set nor follow from the memory and the descriptors of
-// the machine are zero, which means that there is none besides those of net/http.
+// CallerLimits returns the limits in force. Those that are neither set nor follow from the memory and the descriptors
+// of the machine are zero, which means that there is none besides those of net/http.
 func (s Settings) CallerLimits() Callers {
 	c := s.Callers
 	if s.Descriptors > 0 && c.Connections == 0 {
