--- a/internal/process/gwhost/host.go
+++ b/internal/process/gwhost/host.go
@@ -15,6 +15,7 @@
 
 	gw "github.com/geraniumworks/geraniumworks"
 	"github.com/geraniumworks/geraniumworks/internal/connection/gwpeer"
+	"github.com/geraniumworks/geraniumworks/internal/connection/gwpipeline"
 	"github.com/geraniumworks/geraniumworks/internal/connection/gwpool"
 	"github.com/geraniumworks/geraniumworks/internal/connection/gwsocket"
 	"github.com/geraniumworks/geraniumworks/internal/process/gwadmin"
@@ -60,6 +61,7 @@
 	pools        []*gwpool.Pool
 	entry        *gwentry.Handler
 	preview      *gwpreview.Previewer
+	callers      *gwpipeline.Budget
 	control      *gwcontrol.Loop
 	admin        *gwadmin.API
 	reach        *gwreach.Reach
@@ -115,6 +117,7 @@
 		return nil, err
 	}
 	h.buildRequestPath()
+	h.callers = h.callerBudget()
 	h.buildControl()
 	h.registerAges()
 	return h, nil
@@ -165,6 +168,7 @@
 		gwrelay.WithLeaving(h.members.ReportLeaving),
 		gwrelay.WithReach(h.reach),
 		gwrelay.WithWait(h.dispatcher.ExpectedWait),
+		gwrelay.WithBodyBytes(h.settings.Load().RelayBodyBytes()),
 		gwrelay.WithLogger(h.log),
 		gwrelay.WithRegisterer(h.registry),
 	)
@@ -195,6 +199,7 @@
 		gwentry.WithRouter(router),
 		gwentry.WithRegion(h.self.Region),
 		gwentry.WithLocal(h.relay),
+		gwentry.WithRelayConnections(h.relayConnections()),
 		gwentry.WithAdmission(admissionAdapter{h.admitter}),
 		gwentry.WithQuota(h.quota),
 		gwentry.WithObserver(chooser),
