gwpipeline: find the end of heads whose lines end without CR

Cause: the check of line ends gave up on such heads, so that requests behind them waited for their turn, and TestPipelinedRequestsThatDifferInHeaders waited for them and failed.

Change: the finder ends a head at the first empty line, with or without CR, as net/http does, and takes its length from all forms of line ends. A body behind such a head is still no request.

--- a/internal/connection/gwpipeline/finder.go
+++ b/internal/connection/gwpipeline/finder.go
@@ -7,8 +7,6 @@
 )
 
 var (
-	// headEnd ends the head of a request.
-	headEnd = []byte("\r\n\r\n")
 	lineEnd = []byte("\n")
 	// fullLineEnd ends a line. net/http also accepts lineEnd alone.
 	fullLineEnd = []byte("\r\n")
@@ -82,17 +80,17 @@
 		f.lose()
 		return 0, nil, false
 	}
-	end := bytes.Index(f.buf[f.scanned:], headEnd)
+	end := f.headEnd()
 	if end < 0 {
-		if f.scanned = max(0, len(f.buf)-len(headEnd)+1); len(f.buf) > maxAheadBytes {
+		if len(f.buf) > maxAheadBytes {
 			f.lose()
 		}
 		return 0, nil, false
 	}
-	end += f.scanned
 	f.scanned = 0
-	found := head(bytes.Clone(f.buf[:end+len(headEnd)]))
-	if !found.usual(f.maxLines) {
+	found := head(bytes.Clone(f.buf[:end]))
+	// The request line and the empty line are no header lines.
+	if f.maxLines > 0 && bytes.Count(found, lineEnd)-2 > f.maxLines {
 		f.lose()
 		return 0, nil, false
 	}
@@ -113,19 +111,35 @@
 	return f.found, found, true
 }
 
-// usual reports whether a head has at most maxLines lines, and lines that all end in CR and LF. net/http ends a head at
-// an empty line without CR too: what follows would be taken for header lines here, and a body for requests.
-func (h head) usual(maxLines int) bool {
-	lines := bytes.Count(h, lineEnd)
-	// The request line and the empty line are no header lines.
-	return lines == bytes.Count(h, fullLineEnd) && (maxLines <= 0 || lines-2 <= maxLines)
+// headEnd returns where the first head in buf ends, -1 when it has not arrived. Like net/http it accepts lines that end
+// without CR: what follows such a head would otherwise be taken for header lines, and a body for requests.
+func (f *finder) headEnd() int {
+	for {
+		n := bytes.IndexByte(f.buf[f.scanned:], '\n')
+		if n < 0 {
+			f.scanned = len(f.buf)
+			return -1
+		}
+		next := f.buf[f.scanned+n+1:]
+		switch {
+		case bytes.HasPrefix(next, lineEnd):
+			return f.scanned + n + 1 + len(lineEnd)
+		case bytes.HasPrefix(next, fullLineEnd):
+			return f.scanned + n + 1 + len(fullLineEnd)
+		case len(next) == 0 || len(next) == 1 && next[0] == '\r':
+			// Whether the next line is empty is not known.
+			f.scanned += n
+			return -1
+		}
+		f.scanned += n + 1
+	}
 }
 
 // bodyLength returns the length of the body in bytes, and false when the head does not tell it.
 func (h head) bodyLength() (int64, bool) {
 	if bytes.HasPrefix(h, []byte("GET ")) {
 		lower := bytes.ToLower(h)
-		if !bytes.Contains(lower, []byte("\r\ncontent-length:")) && !bytes.Contains(lower, []byte("\r\ntransfer-encoding:")) {
+		if !bytes.Contains(lower, []byte("\ncontent-length:")) && !bytes.Contains(lower, []byte("\ntransfer-encoding:")) {
 			return 0, true
 		}
 	}
