--- a/e2e/callers_test.go
+++ b/e2e/callers_test.go
@@ -40,7 +40,8 @@
 // callersOrdinary is a request that is served, callersClaim one with a body whose length follows.
 const (
 	callersOrdinary = "GET /documents/1 HTTP/1.1\r\nHost: x\r\n" + gw.HeaderTenant + ": members\r\n\r\n"
-	callersClaim    = "POST /claims/1 HTTP/1.1\r\nHost: x\r\n" + gw.HeaderTenant + ": members\r\nContent-Length: %d\r\n\r\n"
+	callersClaim    = "POST /claims/1 HTTP/1.1\r\nHost: x\r\n" + gw.HeaderTenant +
+		": members\r\nContent-Length: %d\r\n\r\n"
 )
 
 // sendCaller sends what one caller sends until the connection fails or ctx ends.
--- a/internal/process/gwsettings/callers_test.go
+++ b/internal/process/gwsettings/callers_test.go
@@ -8,8 +8,8 @@
 	"github.com/geraniumworks/geraniumworks/internal/process/gwsettings"
 )
 
-// Guards against limits that a caller of an ordinary request reaches on the smallest host, against limits on hosts whose
-// memory is not known, and against settings that do not replace what is derived.
+// Guards against limits that a caller of an ordinary request reaches on the smallest host, against limits on hosts
+// whose memory is not known, and against settings that do not replace what is derived.
 func TestLimitsOfCallersFollowFromTheMachine(t *testing.T) {
 	require.Zero(t, gwsettings.Settings{}.CallerLimits())
 	require.Zero(t, gwsettings.Settings{}.MemoryLimit())
--- a/internal/request/gwrelay/bodies.go
+++ b/internal/request/gwrelay/bodies.go
@@ -11,8 +11,8 @@
 const (
 	// streamedBytes is what a body takes that is not read into memory: the buffers of both connections.
 	streamedBytes = 64 << 10
-	// bodiesRetryMilliseconds is when a request may return that was refused for want of memory. Bodies are kept until their
-	// requests are answered, which takes some 100 ms.
+	// bodiesRetryMilliseconds is when a request may return that was refused for want of memory. Bodies are kept until
+	// their requests are answered, which takes some 100 ms.
 	bodiesRetryMilliseconds = 200
 )
 
