--- a/internal/request/gwentry/replay_test.go
+++ b/internal/request/gwentry/replay_test.go
@@ -151,6 +151,8 @@
 	done.Wait()
 	// The requests of the central queue end.
 	time.Sleep(time.Minute)
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	return r.result
 }
 
