--- a/internal/request/gwchoice/score.go
+++ b/internal/request/gwchoice/score.go
@@ -23,9 +23,11 @@
 	crossRegionWaitLarge = 0.250
 	objectiveShare       = 0.5
 	// Servers in other data centres of this region are compared when the best one in this data centre has a longer
-	// expected wait than crossDataCentreWait, or is slower than localSlowness. Bytes between data centres are paid for.
+	// expected wait than crossDataCentreWait, or is slower than localSlowness. Bytes between data centres are paid for:
+	// for a large body or answer the wait must also exceed localObjectiveShare of the time until the objective.
 	crossDataCentreWait = 0.020
 	localSlowness       = 1.5
+	localObjectiveShare = 0.25
 	// The mean of the random, exponential addition to a score as a share of the service time: freshJitter for a report
 	// that has just arrived, up to staleJitter more as it ages. Many hosts believe the same about a server, and without
 	// the addition they would all choose it; with it, servers of which nothing is known get shares by their speed. In the
@@ -101,7 +103,7 @@
 		best, ok := s.pick(now, slices.DeleteFunc(slices.Clone(near), func(candidate Candidate) bool {
 			return candidate.Cell.DataCentre != c.dataCentre
 		}))
-		if !ok || best.Wait > crossDataCentreWait || best.Slowness > localSlowness {
+		if !ok || best.Wait > req.crossDataCentreWait(now) || best.Slowness > localSlowness {
 			best, ok = s.pick(now, near)
 		}
 		if !ok || best.Wait > req.crossRegionWait(now) {
@@ -122,13 +124,31 @@
 
 // crossRegionWait returns the expected wait in this region above which servers in another region are compared.
 func (r Request) crossRegionWait(now time.Time) float64 {
-	if !r.LargeAnswer && r.BodyBytes >= 0 && r.BodyBytes <= largeBytes {
+	if !r.isLarge() {
 		return crossRegionWait
 	}
+	return max(crossRegionWaitLarge, objectiveShare*r.secondsLeft(now))
+}
+
+// crossDataCentreWait returns the expected wait in this data centre above which the region's other ones are compared.
+func (r Request) crossDataCentreWait(now time.Time) float64 {
+	if !r.isLarge() {
+		return crossDataCentreWait
+	}
+	return max(crossDataCentreWait, localObjectiveShare*r.secondsLeft(now))
+}
+
+// isLarge reports whether the body or the answer has many bytes, or a body has an unknown number of them.
+func (r Request) isLarge() bool {
+	return r.LargeAnswer || r.BodyBytes < 0 || r.BodyBytes > largeBytes
+}
+
+// secondsLeft returns the time until the objective, zero when there is none.
+func (r Request) secondsLeft(now time.Time) float64 {
 	if r.Objective.IsZero() {
-		return crossRegionWaitLarge
+		return 0
 	}
-	return max(crossRegionWaitLarge, objectiveShare*r.Objective.Sub(now).Seconds())
+	return r.Objective.Sub(now).Seconds()
 }
 
 func (c *Chooser) distanceOf(candidate Candidate) distance {
--- a/internal/request/gwchoice/score_test.go
+++ b/internal/request/gwchoice/score_test.go
@@ -223,7 +223,11 @@
 	counts := s.choose(t, 20, gwchoice.Request{})
 	require.GreaterOrEqual(t, counts["s0"]+counts["s1"], 18, "this data centre has free slots")
 	hear(600 * time.Millisecond)
-	require.Positive(t, remote(s.choose(t, 20, gwchoice.Request{})), "a small request leaves the region")
+	counts = s.choose(t, 20, gwchoice.Request{})
+	require.Positive(t, remote(counts), "a small request leaves the region")
+	hear(600 * time.Millisecond)
+	counts = s.choose(t, 20, gwchoice.Request{LargeAnswer: true, Objective: s.clock.now.Add(4 * time.Second)})
+	require.GreaterOrEqual(t, counts["s0"]+counts["s1"], 18, "a large answer stays in this data centre")
 	hear(600 * time.Millisecond)
 	download := gwchoice.Request{LargeAnswer: true, Objective: s.clock.now.Add(4 * time.Second)}
 	require.Zero(t, remote(s.choose(t, 20, download)))
