--- a/internal/request/gwdispatch/costorder.go
+++ b/internal/request/gwdispatch/costorder.go
@@ -357,15 +357,11 @@
 	return out
 }
 
-// turnsPerRound is how many slots are allocated by priority for one that is allocated in turn between tenants, so that
-// a tenant with a less urgent priority does not starve.
-const turnsPerRound = 8
-
 // popByCost removes and returns the request that is served next: one that can be on time goes before one that cannot,
 // then the priority decides, then the turn of the tenant, then the arrival. The queue must not be empty.
 func (s *serverState) popByCost(now time.Time) *request {
 	q := &s.queue
-	s.turn = (s.turn + 1) % turnsPerRound
+	s.turn = (s.turn + 1) % turnInterval
 	var best *request
 	tenant, index := 0, 0
 	for i := range q.tenants {
--- a/internal/request/gwdispatch/costorder_test.go
+++ b/internal/request/gwdispatch/costorder_test.go
@@ -370,7 +370,7 @@
 	finish()
 	require.Contains(t, []*request{urgent, another}, running)
 	require.Equal(t, stateWaiting, minor.state)
-	for range 2 * turnsPerRound {
+	for range 2 * turnInterval {
 		submit("a", 0, 10*time.Second)
 		finish()
 	}
