--- a/internal/process/gwhost/blocked.go
+++ b/internal/process/gwhost/blocked.go
@@ -11,8 +11,9 @@
 	// leavingGrace is how long this host goes on sending to a server as its controller permits, counted from the earliest
 	// time at which the server may have begun to leave. Leaving servers serve for at least 2.5 s.
 	leavingGrace = 1900 * time.Millisecond
-	// outOfServiceGrace is the same for servers that operators took out of service. They must get no requests after 5 s.
-	outOfServiceGrace = 4 * time.Second
+	// outOfServiceGrace is the same for servers that operators took out of service. They must get no requests after 5 s,
+	// counted from the operators' change, of which a loaded host hears up to 2 s later.
+	outOfServiceGrace = 3 * time.Second
 )
 
 // outOfServiceTimes records since when the servers of data centres are out of service.
