--- a/internal/request/gwchoice/score.go
+++ b/internal/request/gwchoice/score.go
@@ -100,15 +100,13 @@
 		if unused, ok := s.trial(now, near); ok {
 			return c.chosenByScore(name, unused), nil
 		}
-		best, ok := s.pick(now, slices.DeleteFunc(slices.Clone(near), func(candidate Candidate) bool {
-			return candidate.Cell.DataCentre != c.dataCentre
-		}))
+		best, ok := s.pick(now, near, func(candidate *Candidate) bool { return candidate.Cell.DataCentre == c.dataCentre })
 		if !ok || best.Wait > req.crossDataCentreWait(now) || best.Slowness > localSlowness {
-			best, ok = s.pick(now, near)
+			best, ok = s.pick(now, near, anyCandidate)
 		}
 		if !ok || best.Wait > req.crossRegionWait(now) {
 			far := c.candidates(now, s, name, dirs, req, round, true)
-			best, ok = s.pick(now, append(near, far...))
+			best, ok = s.pick(now, append(near, far...), anyCandidate)
 		}
 		if ok {
 			return c.chosenByScore(name, best), nil
@@ -288,17 +286,20 @@
 	return unused[s.rng.IntN(len(unused))], true
 }
 
-// pick returns the candidate with the lowest score after a random addition.
-func (s *service) pick(now time.Time, candidates []Candidate) (best Candidate, ok bool) {
-	if len(candidates) == 0 {
-		return Candidate{}, false
-	}
+// pick returns the candidate with the lowest score after a random addition, of those that are allowed.
+func (s *service) pick(now time.Time, candidates []Candidate, allowed func(*Candidate) bool) (best Candidate, ok bool) {
 	lowest := 0.0
-	for i, c := range candidates {
+	for i := range candidates {
+		c := &candidates[i]
+		if !allowed(c) {
+			continue
+		}
 		score := c.Score + s.rng.ExpFloat64()*c.Service*(freshJitter+(1-freshness(now, c.ReportedAt))*staleJitter)
-		if i == 0 || score < lowest {
-			best, lowest = c, score
+		if !ok || score < lowest {
+			best, lowest, ok = *c, score, true
 		}
 	}
-	return best, true
+	return best, ok
 }
+
+func anyCandidate(*Candidate) bool { return true }
--- a/internal/request/gwdispatch/costorder.go
+++ b/internal/request/gwdispatch/costorder.go
@@ -174,9 +174,13 @@
 func (s *serverState) projectStart(now time.Time, r *request) {
 	p := &s.projected
 	earliest := slices.MinFunc(p.free, time.Time.Compare)
-	paced := now.Add(s.pauseLeft(now) +
-		max(s.rateLimiter.minWait(now, p.starts), s.serverLimit.minWait(now, p.starts)))
-	r.expectedStart = latest(latest(earliest, paced), s.slotLimiter.wakeAt(now))
+	r.expectedStart = latest(latest(earliest, s.pacedFrom(now)), s.slotLimiter.wakeAt(now))
+}
+
+// pacedFrom returns the earliest start after those of the projection that the server's pause and limits permit.
+func (s *serverState) pacedFrom(now time.Time) time.Time {
+	starts := s.projected.starts
+	return now.Add(s.pauseLeft(now) + max(s.rateLimiter.minWait(now, starts), s.serverLimit.minWait(now, starts)))
 }
 
 // projectUse lets the request occupy the slot that becomes free first.
@@ -349,8 +353,7 @@
 	if least := max(spacing(s.rateLimiter.minWait), spacing(s.serverLimit.minWait)); least > 0 && cost > 0 {
 		out.Share = min(out.Share, float64(cost)/float64(least)/float64(len(p.free)))
 	}
-	from := now.Add(s.pauseLeft(now) +
-		max(s.rateLimiter.minWait(now, p.starts), s.serverLimit.minWait(now, p.starts)))
+	from := s.pacedFrom(now)
 	for i := range p.free {
 		p.free[i] = latest(p.free[i], from)
 	}
--- a/internal/request/gwdispatch/observe.go
+++ b/internal/request/gwdispatch/observe.go
@@ -28,7 +28,7 @@
 	switch {
 	case s.rejectedWithFreeSlots(result):
 		// Fewer requests would be rejected as often.
-		s.rejections.add(now, 1)
+		s.rejections.add(now, false, rejectionMemory)
 	case result.Overloaded:
 		s.slotLimiter.lower(now, s.limits, s.server.Slots, s.busy, s.serviceTime)
 	case good && sameIncarnation && !r.started.Before(s.slotLimiter.loweredAt):
@@ -37,7 +37,7 @@
 	}
 	if good {
 		s.answers++
-		s.rejections.add(now, 0)
+		s.rejections.add(now, true, rejectionMemory)
 		if s.serviceTime == 0 {
 			s.serviceTime = took
 		}
@@ -50,7 +50,7 @@
 	}
 	// A refusal by the server itself, for example of a stale token, says nothing about its health.
 	if refused := result.Outcome == gw.OutcomeNotRun && result.Status != 0; !refused && !result.Overloaded {
-		s.recent.add(now, good)
+		s.recent.add(now, good, rateWindow)
 	}
 	s.observeCost(now, r, result, took, good)
 	// A request with an unknown outcome took at least this long, which says nothing if it is below the median.
@@ -103,14 +103,19 @@
 	return age
 }
 
-// recentResults counts successes and failures with exponential decay, with a time constant of rateWindow.
+// recentResults counts successes and failures with exponential decay.
 type recentResults struct {
 	good, bad float64
 	at        time.Time
 }
 
-func (r *recentResults) add(now time.Time, good bool) {
-	factor := math.Exp(-now.Sub(r.at).Seconds() / rateWindow.Seconds())
+// remaining returns the share of the counts that is left now, with the given time constant.
+func (r *recentResults) remaining(now time.Time, memory time.Duration) float64 {
+	return math.Exp(-now.Sub(r.at).Seconds() / memory.Seconds())
+}
+
+func (r *recentResults) add(now time.Time, good bool, memory time.Duration) {
+	factor := r.remaining(now, memory)
 	r.good *= factor
 	r.bad *= factor
 	r.at = now
--- a/internal/request/gwdispatch/rejections.go
+++ b/internal/request/gwdispatch/rejections.go
@@ -1,7 +1,6 @@
 package gwdispatch
 
 import (
-	"math"
 	"time"
 
 	gw "github.com/geraniumworks/geraniumworks"
@@ -24,25 +23,16 @@
 // could serve all. A request may be sent to few servers, so that many are refused that another server had a slot for.
 // The dispatcher sees all results of a server; one of 60 entry hosts sees one in some seconds.
 type rejections struct {
-	rejected, total float64
-	at              time.Time
-}
-
-func (r *rejections) add(now time.Time, rejected float64) {
-	weight := r.weight(now)
-	r.rejected, r.total, r.at = r.rejected*weight+rejected, r.total*weight+1, now
-}
-
-func (r *rejections) weight(now time.Time) float64 {
-	return math.Exp(-max(now.Sub(r.at), 0).Seconds() / rejectionMemory.Seconds())
+	recentResults
 }
 
 // share returns the share of requests that are likely to be rejected, zero when that is little or not known.
 func (r *rejections) share(now time.Time) float64 {
-	if r.total*r.weight(now) < minRejectionSamples || r.rejected < leastRejections*r.total {
+	total := r.good + r.bad
+	if total*r.remaining(now, rejectionMemory) < minRejectionSamples || r.bad < leastRejections*total {
 		return 0
 	}
-	return r.rejected / r.total
+	return r.bad / total
 }
 
 // rejectedWithFreeSlots reports whether a server of a cost-aware service has rejected a request and says at the same
--- a/internal/request/gwentry/call.go
+++ b/internal/request/gwentry/call.go
@@ -176,15 +176,21 @@
 	})
 }
 
-// setDeadline sets the deadline to the shortest of the limits of service and route and the timeout of the caller.
-func (c *call) setDeadline(now time.Time, head gw.CallerHead) *gw.Refusal {
-	n := c.service.Limits.DeadlineMilliseconds
+// LongestMilliseconds returns the longest duration of a request that service and route permit.
+func LongestMilliseconds(route gw.Route, service gw.Service) int64 {
+	n := service.Limits.DeadlineMilliseconds
 	if n <= 0 {
 		n = gwforward.DefaultDeadlineMilliseconds
 	}
-	if c.route.TimeoutMilliseconds > 0 {
-		n = min(n, c.route.TimeoutMilliseconds)
+	if route.TimeoutMilliseconds > 0 {
+		n = min(n, route.TimeoutMilliseconds)
 	}
+	return n
+}
+
+// setDeadline sets the deadline to the shortest of the limits of service and route and the timeout of the caller.
+func (c *call) setDeadline(now time.Time, head gw.CallerHead) *gw.Refusal {
+	n := LongestMilliseconds(c.route, c.service)
 	if head.HasTimeout {
 		n = min(n, head.TimeoutMilliseconds)
 	}
--- a/internal/request/gwpreview/preview.go
+++ b/internal/request/gwpreview/preview.go
@@ -70,7 +70,7 @@
 	}
 	out.Tenant, out.Service = tenant.Name, service.Name
 	out.ByScore = service.CostAware && !service.DividedByKey
-	out.DeadlineMilliseconds = deadline(route, service)
+	out.DeadlineMilliseconds = gwentry.LongestMilliseconds(route, service)
 	if homes := tenant.HomeRegions; len(homes) > 0 && !slices.Contains(homes, p.opts.Region) {
 		out.Refusal = gw.Refuse(gw.ReasonWrongRegion, "requests of the tenant are served only in its home regions")
 		out.Refusal.HomeRegions = homes
@@ -98,17 +98,6 @@
 	return slices.MaxFunc(route.Split, byWeight).Service
 }
 
-func deadline(route gw.Route, service gw.Service) int64 {
-	n := service.Limits.DeadlineMilliseconds
-	if n <= 0 {
-		n = gwforward.DefaultDeadlineMilliseconds
-	}
-	if route.TimeoutMilliseconds > 0 {
-		n = min(n, route.TimeoutMilliseconds)
-	}
-	return n
-}
-
 func (p *Previewer) slotRequest(req Request, out Answer, route gw.Route) gw.SlotRequest {
 	now := p.opts.Clock.Now()
 	slot := gw.SlotRequest{
