--- a/review/standin2/hosts.go
+++ b/review/standin2/hosts.go
@@ -35,24 +35,26 @@
 	starts  int
 }
 
-// freeAddress returns an address of an IP that nobody listens on.
-func freeAddress(ip string) (string, error) {
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return "", err
+// freeAddresses returns different addresses of an IP on which nobody listens.
+func freeAddresses(ip string, n int) ([]string, error) {
+	var addresses []string
+	for range n {
+		l, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			return nil, err
+		}
+		// It stays open until all are found, so that none is found twice.
+		defer func() { _ = l.Close() }()
+		addresses = append(addresses, l.Addr().String())
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return addresses, nil
 }
 
 // newHost writes the settings of a machine, as deploy/settings.template has them.
 func newHost(dir, name, ip string, at place, places []place, store string) (*host, error) {
-	var addresses [5]string
-	for i := range addresses {
-		var err error
-		if addresses[i], err = freeAddress(ip); err != nil {
-			return nil, err
-		}
+	addresses, err := freeAddresses(ip, 5)
+	if err != nil {
+		return nil, err
 	}
 	h := &host{
 		name: name, zone: at.Name, region: at.Region, callers: addresses[0], readiness: addresses[1],
@@ -125,18 +127,6 @@
 	}
 }
 
-// running reports whether the process runs.
-func (h *host) running() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	select {
-	case <-h.ended:
-		return false
-	default:
-		return true
-	}
-}
-
 // isReady asks the process whether it is ready, as the platform does.
 func (h *host) isReady() bool {
 	client := http.Client{Timeout: time.Second}
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -1,7 +1,7 @@
 //go:build review
 
-// Review-standin-2 plays a case of the second review: it starts hosts of the project as processes on loopback addresses,
-// with stand-ins for the platform's store, the backend servers and the clients, and checks one rule.
+// Review-standin-2 plays a case of the second review: it starts hosts of the project as processes on loopback
+// addresses, with stand-ins for the platform's store, the backend servers and the clients, and checks one rule.
 package main
 
 import (
@@ -26,6 +26,9 @@
 // trafficAfter is how long after the hosts the traffic starts.
 const trafficAfter = 8 * time.Second
 
+// cases are the cases by name. Each file with a case adds its own.
+var cases = map[string]func(context.Context, *play) (bool, error){}
+
 // record writes what was sent, answered and run.
 type record struct {
 	mu    sync.Mutex
@@ -72,7 +75,7 @@
 }
 
 // build starts the store and the servers, and writes the first configuration and the settings of the hosts.
-func (p *play) build(hostsPerZone, serversPerZone, slots int, work time.Duration) error {
+func (p *play) build(hostsPerZone, serversPerZone int, work time.Duration) error {
 	var err error
 	if p.store, err = newStore(p.rec, p.ip()); err != nil {
 		return err
@@ -83,7 +86,7 @@
 	}
 	for _, at := range places {
 		for i := range serversPerZone {
-			b, err := newBackend(p.store, fmt.Sprintf("i-%s-%d", at.Name, i+1), p.ip(), at.Name, "huvo11a", slots, work)
+			b, err := newBackend(p.store, fmt.Sprintf("i-%s-%d", at.Name, i+1), p.ip(), at.Name, "huvo11a", work)
 			if err != nil {
 				return err
 			}
@@ -203,9 +206,6 @@
 	}()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	cases := map[string]func(context.Context, *play) (bool, error){
-		"moved-id": movedID, "late-entry": lateEntry, "memory": memory, "changed-path": changedPath,
-	}
 	do, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Println("no such case")
--- a/review/standin2/movedid.go
+++ b/review/standin2/movedid.go
@@ -9,26 +9,31 @@
 	"time"
 )
 
+func init() { cases["moved-id"] = movedID }
+
 // Times of the case moved-id.
 const (
 	crashAt    = 22 * time.Second
-	backAt     = crashAt + 2*time.Second
-	movedIDEnd = 40 * time.Second
+	crashEvery = 16 * time.Second
+	downTime   = 2 * time.Second
+	movedIDEnd = 56 * time.Second
+	// serversPerZone makes the one that is lost an eighth of the servers.
+	serversPerZone = 4
 )
 
-// movedID plays OWNER: a server crashes and starts again under the id that it had, in another zone.
+// movedID plays OWNER: servers crash and start again under the ids that they had, in the other zone.
 func movedID(ctx context.Context, p *play) (bool, error) {
 	p.addOwners = func() {
 		for _, at := range places {
-			for i := range 4 {
+			for i := range serversPerZone {
 				p.owners = append(p.owners, &owner{
-					id: fmt.Sprintf("i-k%s-%d", at.Name, i+1), service: "wuno96b", zone: at.Name, slots: 4,
+					id: fmt.Sprintf("i-k%s-%d", at.Name, i+1), service: "wuno96b", zone: at.Name,
 					work: 60 * time.Millisecond, store: p.store, rec: p.rec, all: &p.owners,
 				})
 			}
 		}
 	}
-	if err := p.build(2, 2, 4, 60*time.Millisecond); err != nil {
+	if err := p.build(2, 2, 60*time.Millisecond); err != nil {
 		return false, err
 	}
 	if err := p.sleep(ctx, trafficAfter); err != nil {
@@ -45,15 +50,23 @@
 	for range 24 {
 		clients.Go(func() { freshClient(traffic, p.hosts, keyedPath, 200*time.Millisecond, &p.results) })
 	}
-	if err := p.sleep(ctx, crashAt); err != nil {
-		return false, err
-	}
-	if p.trouble {
-		p.owners[0].crash()
-		if err := p.sleep(ctx, backAt); err != nil {
+	// One server of each zone, one after the other.
+	for i, moved := range []struct {
+		server *owner
+		to     place
+	}{{p.owners[0], places[1]}, {p.owners[serversPerZone], places[0]}} {
+		at := crashAt + time.Duration(i)*crashEvery
+		if !p.trouble {
+			break
+		}
+		if err := p.sleep(ctx, at); err != nil {
+			return false, err
+		}
+		moved.server.crash()
+		if err := p.sleep(ctx, at+downTime); err != nil {
 			return false, err
 		}
-		if err := p.owners[0].start(p.ip(), places[1].Name); err != nil {
+		if err := moved.server.start(p.ip(), moved.to.Name); err != nil {
 			return false, err
 		}
 	}
--- a/review/standin2/owner.go
+++ b/review/standin2/owner.go
@@ -22,7 +22,6 @@
 // owner is a stand-in for a sound backend server of a service that is divided by key. A life is one run of it.
 type owner struct {
 	id, service, zone string
-	slots             int
 	work              time.Duration
 	store             *store
 	rec               *record
@@ -65,7 +64,7 @@
 // start begins a life of the server in a zone.
 func (o *owner) start(ip, zone string) error {
 	l := &life{
-		of: o, born: time.Now().UnixMilli(), zone: zone, free: make(chan struct{}, o.slots), end: make(chan struct{}),
+		of: o, born: time.Now().UnixMilli(), zone: zone, free: make(chan struct{}, slots), end: make(chan struct{}),
 		running: map[int]int{},
 	}
 	l.idle = sync.NewCond(&l.mu)
@@ -109,7 +108,7 @@
 func (l *life) register() {
 	for sequence := 1; ; sequence++ {
 		l.of.store.put("servers/"+l.of.id, map[string]any{
-			"service": l.of.service, "address": l.address, "zone": l.zone, "version": "v1", "concurrency": l.of.slots,
+			"service": l.of.service, "address": l.address, "zone": l.zone, "version": "v1", "concurrency": slots,
 			"state": "ready", "warmup_time": "0ms", "sequence": sequence, "born": l.born,
 		})
 		select {
--- a/review/standin2/server.go
+++ b/review/standin2/server.go
@@ -14,7 +14,6 @@
 // backend is a stand-in for a sound backend server of a service that is not divided by key.
 type backend struct {
 	id, address, zone, service string
-	slots                      int
 	work                       time.Duration
 	store                      *store
 	free                       chan struct{}
@@ -27,9 +26,9 @@
 	path map[string]string
 }
 
-func newBackend(s *store, id, ip, zone, service string, slots int, work time.Duration) (*backend, error) {
+func newBackend(s *store, id, ip, zone, service string, work time.Duration) (*backend, error) {
 	b := &backend{
-		id: id, zone: zone, service: service, slots: slots, work: work, store: s, free: make(chan struct{}, slots),
+		id: id, zone: zone, service: service, work: work, store: s, free: make(chan struct{}, slots),
 		arrived: map[string]time.Time{}, path: map[string]string{},
 	}
 	listener, err := net.Listen("tcp", ip+":0")
@@ -47,13 +46,16 @@
 	born := time.Now().UnixMilli()
 	for sequence := 1; ; sequence++ {
 		b.store.put("servers/"+b.id, map[string]any{
-			"service": b.service, "address": b.address, "zone": b.zone, "version": "v1", "concurrency": b.slots,
+			"service": b.service, "address": b.address, "zone": b.zone, "version": "v1", "concurrency": slots,
 			"state": "ready", "warmup_time": "0ms", "sequence": sequence, "born": born,
 		})
 		time.Sleep(1500 * time.Millisecond)
 	}
 }
 
+// slots is how many requests a server runs at once.
+const slots = 4
+
 // queue is how many requests wait for a slot at most.
 const queue = 8
 
