--- a/review/standin2/memory.go
+++ b/review/standin2/memory.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -13,6 +12,8 @@
 	"time"
 )
 
+func init() { cases["memory"] = memory }
+
 // Times and sizes of the case memory.
 const (
 	burstAt      = 50 * time.Second
@@ -23,7 +24,7 @@
 
 // memory plays LOST: callers that nobody controls send requests of legal size with very many short header lines.
 func memory(ctx context.Context, p *play) (bool, error) {
-	if err := p.build(1, 8, 4, 150*time.Millisecond); err != nil {
+	if err := p.build(1, 8, 150*time.Millisecond); err != nil {
 		return false, err
 	}
 	if err := p.sleep(ctx, trafficAfter); err != nil {
@@ -115,17 +116,16 @@
 			if !ok {
 				continue
 			}
-			line := fmt.Sprintf("request %s to %s, sent at %.3f s on a connection that was kept (%v): server %s began at %.3f s, "+
-				"%s closed the connection without an answer at %.3f s", q.id, q.path, q.sentAt.Sub(p.rec.start).Seconds(),
-				q.kept, b.id, began.Sub(p.rec.start).Seconds(), q.host, q.endAt.Sub(p.rec.start).Seconds())
-			p.rec.printf("%s", line)
+			p.rec.printf("request %s to %s, sent at %.3f s on a connection that was kept (%v): server %s began at %.3f s, "+
+				"%s closed the connection without an answer at %.3f s",
+				q.id, q.path, p.rec.at(q.sentAt), q.kept, b.id, p.rec.at(began), q.host, p.rec.at(q.endAt))
 			if q.kept {
 				lost++
 			}
 		}
 	}
-	p.rec.printf("%d requests of clients that keep to the pages, %d ended without an answer, %d of them passed on from a kept "+
-		"connection; statuses of the others %v", sent, cut, lost, other)
+	p.rec.printf("%d requests of clients that keep to the pages, %d ended without an answer, "+
+		"%d of them passed on from a kept connection; statuses of the others %v", sent, cut, lost, other)
 	if lost > 3 {
 		p.rec.printf("BROKEN LOST: more than three requests were passed on, and their connections closed without an answer")
 	}
