--- a/review/standin2/changedpath.go
+++ b/review/standin2/changedpath.go
@@ -12,6 +12,8 @@
 	"time"
 )
 
+func init() { cases["changed-path"] = changedPath }
+
 // paths are request targets as clients that nobody controls send them, and as careful clients send the same.
 var paths = []struct{ odd, careful string }{
 	{safePath + "/van%2Fdam|3", safePath + "/van%2Fdam%7C3"},
@@ -22,7 +24,7 @@
 
 // changedPath plays UNASKED: clients that nobody controls send characters in paths that careful ones would encode.
 func changedPath(ctx context.Context, p *play) (bool, error) {
-	if err := p.build(1, 2, 4, 20*time.Millisecond); err != nil {
+	if err := p.build(1, 2, 20*time.Millisecond); err != nil {
 		return false, err
 	}
 	if err := p.sleep(ctx, trafficAfter); err != nil {
