review: case 10, keyed services stay away after a restore while all hosts are lost

Cause: after a restore only a controller from before it may grant a range, until all that a former one might grant has ended, 24 s later. When all processes are new there is none.

--- a/review/standin2/movedid.go
+++ b/review/standin2/movedid.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"time"
 )
@@ -15,7 +14,7 @@
 const (
 	crashAt    = 22 * time.Second
 	crashEvery = 16 * time.Second
-	downTime   = 2 * time.Second
+	downTime   = time.Second
 	movedIDEnd = 56 * time.Second
 	// serversPerZone makes the one that is lost an eighth of the servers.
 	serversPerZone = 4
@@ -23,16 +22,7 @@
 
 // movedID plays OWNER: servers crash and start again under the ids that they had, in the other zone.
 func movedID(ctx context.Context, p *play) (bool, error) {
-	p.addOwners = func() {
-		for _, at := range places {
-			for i := range serversPerZone {
-				p.owners = append(p.owners, &owner{
-					id: fmt.Sprintf("i-k%s-%d", at.Name, i+1), service: "wuno96b", zone: at.Name,
-					work: 60 * time.Millisecond, store: p.store, rec: p.rec, all: &p.owners,
-				})
-			}
-		}
-	}
+	p.addOwners = func() { p.owners = p.ownersOf(serversPerZone) }
 	if err := p.build(2, 2, 60*time.Millisecond); err != nil {
 		return false, err
 	}
--- a/review/standin2/owner.go
+++ b/review/standin2/owner.go
@@ -61,6 +61,20 @@
 	ended   bool
 }
 
+// ownersOf returns servers of the service that is divided by key, n in each zone.
+func (p *play) ownersOf(n int) []*owner {
+	var owners []*owner
+	for _, at := range places {
+		for i := range n {
+			owners = append(owners, &owner{
+				id: fmt.Sprintf("i-k%s-%d", at.Name, i+1), service: "wuno96b", zone: at.Name,
+				work: 60 * time.Millisecond, store: p.store, rec: p.rec, all: &p.owners,
+			})
+		}
+	}
+	return owners
+}
+
 // start begins a life of the server in a zone.
 func (o *owner) start(ip, zone string) error {
 	l := &life{
--- a/review/standin2/store.go
+++ b/review/standin2/store.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"sort"
@@ -38,6 +39,14 @@
 	Remove []string `json:"remove"`
 }
 
+// copyOf is the state of the store at a time.
+type copyOf struct {
+	at       time.Time
+	revision int64
+	items    map[string]item
+	leases   map[int64]lease
+}
+
 // lease is a lease of the store.
 type lease struct {
 	ttl time.Duration
@@ -55,6 +64,12 @@
 	history  []item
 	leases   map[int64]*lease
 	changed  chan struct{}
+	// era counts the restores, down is set while the store is away. copies are the states of the last seconds.
+	era int
+	// oldest is the revision before which there is no history.
+	oldest int64
+	down   bool
+	copies []copyOf
 	// lose decides whether a write gets no answer, and how much later it is done. It is called with mu held.
 	lose func(t txn) (late time.Duration, lost bool)
 	// writes and lost count the writes since countFrom.
@@ -64,6 +79,7 @@
 
 func newStore(rec *record, ip string) (*store, error) {
 	s := &store{
+		era: 1,
 		rec: rec, items: map[string]item{}, leases: map[int64]*lease{}, changed: make(chan struct{}), revision: 100,
 	}
 	listener, err := net.Listen("tcp", ip+":0")
@@ -79,16 +95,79 @@
 	mux.HandleFunc("POST /kv-lease", s.startLease)
 	mux.HandleFunc("POST /kv-keep/{id}", s.keep)
 	mux.HandleFunc("DELETE /kv-lease-end/{id}", s.endLease)
-	go func() { _ = http.Serve(listener, mux) }()
+	go func() { _ = http.Serve(listener, s.guard(mux)) }()
 	go s.expire()
+	go s.copyAll()
 	return s, nil
 }
 
+// guard adds the era to all answers, and turns calls away while the store is down.
+func (s *store) guard(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		era, down := s.era, s.down
+		s.mu.Unlock()
+		w.Header().Set("Store-Era", strconv.Itoa(era))
+		if down {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// copyAll keeps copies of the last 12 seconds.
+func (s *store) copyAll() {
+	for range time.Tick(250 * time.Millisecond) {
+		s.mu.Lock()
+		c := copyOf{at: time.Now(), revision: s.revision, items: maps.Clone(s.items), leases: map[int64]lease{}}
+		for id, l := range s.leases {
+			c.leases[id] = *l
+		}
+		s.copies = append(s.copies, c)
+		s.copies = s.copies[max(len(s.copies)-48, 0):]
+		s.mu.Unlock()
+	}
+}
+
+// takeDown makes the store answer nothing but 503, and cuts watches.
+func (s *store) takeDown() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = true
+	s.notify()
+	s.rec.printf("store: down")
+}
+
+// restore brings the store back from a copy of the given age.
+func (s *store) restore(age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	want := time.Now().Add(-age)
+	from := s.copies[0]
+	for _, c := range s.copies {
+		if c.at.Before(want) {
+			from = c
+		}
+	}
+	s.era++
+	s.revision, s.items, s.history, s.leases = from.revision, maps.Clone(from.items), nil, map[int64]*lease{}
+	for id, l := range from.leases {
+		s.leases[id] = &lease{ttl: l.ttl, end: time.Now().Add(l.ttl)}
+	}
+	s.oldest, s.copies, s.down = s.revision, nil, false
+	s.notify()
+	s.rec.printf("store: back from a copy of %v ago, revision %d, era %d", time.Since(from.at), s.revision, s.era)
+}
+
 // put writes a key of the operator or of a server.
 func (s *store) put(key string, value any) {
 	data, _ := json.Marshal(value)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.down {
+		return
+	}
 	s.revision++
 	s.set(key, data, 0)
 	s.notify()
@@ -98,7 +177,7 @@
 func (s *store) remove(key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, ok := s.items[key]; ok {
+	if _, ok := s.items[key]; ok && !s.down {
 		s.revision++
 		s.drop(key)
 		s.notify()
@@ -196,10 +275,22 @@
 	q := r.URL.Query()
 	after, _ := strconv.ParseInt(q.Get("after"), 10, 64)
 	wait, _ := strconv.Atoi(q.Get("wait_ms"))
+	s.mu.Lock()
+	era := s.era
+	s.mu.Unlock()
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
+		if s.down || s.era != era || after > s.revision || after < s.oldest {
+			down := s.down
+			s.mu.Unlock()
+			if down {
+				panic(http.ErrAbortHandler)
+			}
+			answer(w, http.StatusGone, struct{}{})
+			return
+		}
 		events := []item{}
 		for _, it := range s.history {
 			if it.Revision > after && strings.HasPrefix(it.Key, q.Get("prefix")) {
