--- a/review/standin2/movedid.go
+++ b/review/standin2/movedid.go
@@ -13,9 +13,9 @@
 // Times of the case moved-id.
 const (
 	crashAt    = 22 * time.Second
-	crashEvery = 16 * time.Second
+	crashEvery = 15 * time.Second
 	downTime   = time.Second
-	movedIDEnd = 56 * time.Second
+	movedIDEnd = 98 * time.Second
 	// serversPerZone makes the one that is lost an eighth of the servers.
 	serversPerZone = 4
 )
@@ -40,11 +40,17 @@
 	for range 24 {
 		clients.Go(func() { freshClient(traffic, p.hosts, keyedPath, 200*time.Millisecond, &p.results) })
 	}
-	// One server of each zone, one after the other.
+	// Five servers one after the other, of each zone in turn.
 	for i, moved := range []struct {
 		server *owner
 		to     place
-	}{{p.owners[0], places[1]}, {p.owners[serversPerZone], places[0]}} {
+	}{
+		{p.owners[0], places[1]},
+		{p.owners[serversPerZone], places[0]},
+		{p.owners[1], places[1]},
+		{p.owners[serversPerZone+1], places[0]},
+		{p.owners[2], places[1]},
+	} {
 		at := crashAt + time.Duration(i)*crashEvery
 		if !p.trouble {
 			break
