--- a/internal/connection/gwbudget/ledger.go
+++ b/internal/connection/gwbudget/ledger.go
@@ -14,6 +14,10 @@
 // again in the copy that is passed on.
 const lineBytes = 250
 
+// restBytes is what a connection may keep between requests, such as a buffer, without having held something since the
+// one before.
+const restBytes = 8 << 10
+
 // HeadBytes returns the cost of the head of a request that has the given number of bytes and lines. Bytes count twice,
 // as received and as strings.
 func HeadBytes(n, lines int) int64 {
@@ -31,7 +35,7 @@
 // Account is what a Ledger knows about one connection. It belongs to one Ledger.
 type Account struct {
 	held int64
-	// heldTime adds up held over time, in bytes times nanoseconds, since the connection last held nothing.
+	// heldTime adds up held over time, in bytes times nanoseconds, since the connection last held restBytes at most.
 	heldTime float64
 	changed  time.Time
 	// busy is set while a request of the connection is worked on, idleSince is when it was not any more.
@@ -42,7 +46,9 @@
 
 // Ledger keeps the accounts of all connections. It addresses callers that hold much for long: thousands of header
 // lines, bodies that do not end, responses that are not read, and connections on which nothing is asked. When a limit
-// is exceeded, the connection with the largest product of memory and time is turned away first.
+// is exceeded, the connection with the largest product of memory and time is turned away first, among those that hold
+// more than an even share. So one that is within its share, such as an ordinary request on an old connection, stays
+// however long it holds that, as long as others hold more.
 //
 // A Ledger has no clock and no lock. What is turned away no longer counts, although it is released a little later.
 type Ledger struct {
@@ -105,24 +111,25 @@
 	}
 	a.settle(now)
 	l.held += bytes - a.held
-	if a.held = bytes; bytes == 0 {
+	if a.held = bytes; bytes <= restBytes {
 		a.heldTime = 0
 	}
 	return l.turnAway(now)
 }
 
 // turnAway removes connections when the limit is exceeded, until an eighth of it is free, so that the search is not
-// repeated for each byte that arrives.
+// repeated for each byte that arrives. While more than that is held, some connection holds more than an even share.
 func (l *Ledger) turnAway(now time.Time) []*Account {
 	if l.limits.Bytes <= 0 || l.held <= l.limits.Bytes {
 		return nil
 	}
 	var turnedAway []*Account
-	for l.held > l.limits.Bytes-l.limits.Bytes/8 {
+	for enough := l.limits.Bytes - l.limits.Bytes/8; l.held > enough; {
+		share := enough / int64(len(l.accounts))
 		var worst *Account
 		for a := range l.accounts {
 			a.settle(now)
-			if a.held > 0 && (worst == nil || a.worse(worst)) {
+			if a.held > 0 && ConnectionBytes+a.held > share && (worst == nil || a.worse(worst)) {
 				worst = a
 			}
 		}
--- a/internal/connection/gwbudget/ledger_test.go
+++ b/internal/connection/gwbudget/ledger_test.go
@@ -1,6 +1,7 @@
 package gwbudget_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -40,6 +41,43 @@
 	require.GreaterOrEqual(t, len(turnedAway), attackers-10)
 }
 
+// Guards against ordinary callers that are turned away for their age. Their connections have served requests for a
+// minute and keep a small buffer between them, as one of some seconds keeps the buffers of its request. Then 100 others
+// send a head of 4,073 lines at once.
+func TestOrdinaryConnectionsStayWhenOthersFillTheBudget(t *testing.T) {
+	const limit, kept, working = 28 << 20, 1 << 10, 52 << 10
+	l := gwbudget.New(gwbudget.Limits{Bytes: limit, Connections: 1437})
+	var ordinary []*gwbudget.Account
+	now := begin
+	for range 24 {
+		a, _ := l.Open(now)
+		ordinary = append(ordinary, a)
+	}
+	hold := func(bytes int64) {
+		for _, a := range ordinary {
+			require.Empty(t, l.Hold(a, bytes, now))
+		}
+	}
+	for range 120 {
+		hold(working)
+		now = now.Add(250 * time.Millisecond)
+		hold(kept)
+		now = now.Add(250 * time.Millisecond)
+	}
+	hold(working)
+	now = now.Add(6 * time.Second)
+	turnedAway := 0
+	for range 100 {
+		now = now.Add(time.Millisecond)
+		stranger, _ := l.Open(now)
+		for _, a := range l.Hold(stranger, gwbudget.HeadBytes(16<<10, 4073), now) {
+			require.False(t, slices.Contains(ordinary, a), "an ordinary connection is turned away")
+			turnedAway++
+		}
+	}
+	require.Positive(t, turnedAway)
+}
+
 // Guards against connections without requests that keep ordinary callers out, and against running requests that are cut
 // off to make room for a new connection.
 func TestIdleConnectionsMakeRoom(t *testing.T) {
