--- a/internal/request/gwentry/attempt.go
+++ b/internal/request/gwentry/attempt.go
@@ -130,7 +130,7 @@
 		ID: rand.Text(), CallerID: c.id, OperationID: c.operationID, Tenant: c.tenant.Name, Target: target,
 		Repeatable: c.repeatable, Limits: c.service.Limits, Deadline: c.deadline,
 		Objective: c.objective, Priority: c.priority, NoWait: c.search.noWait,
-		Method: c.in.Method, URL: c.in.URL, Host: c.in.Host, Header: c.header, Body: c.body,
+		Method: c.in.Method, URL: c.in.URL, Path: c.path, Host: c.in.Host, Header: c.header, Body: c.body,
 	}
 	if c.service.CostAware {
 		req.Class = gwcost.ClassOf(c.route.Name, c.in.Method, c.in.ContentLength)
--- a/internal/request/gwentry/call.go
+++ b/internal/request/gwentry/call.go
@@ -24,7 +24,9 @@
 	started time.Time
 	version gw.ConfigVersion
 	// id is the request id that the caller has set, empty when there is none.
-	id      string
+	id string
+	// path is the path as it was received.
+	path    string
 	route   gw.Route
 	service gw.Service
 	tenant  gw.Tenant
@@ -65,12 +67,12 @@
 
 // readHead resolves route, tenant and service, and checks everything that does not need the body.
 func (c *call) readHead(x *configIndex, now time.Time) *gw.Refusal {
+	c.path = gwforward.ReceivedPath(c.in.URL, c.in.RequestURI)
 	if refusal := c.checkForm(); refusal != nil {
 		return refusal
 	}
-	path := c.in.URL.EscapedPath()
 	var ok bool
-	if c.route, ok = x.route(c.in.Host, path); !ok {
+	if c.route, ok = x.route(c.in.Host, c.path); !ok {
 		return gw.Refuse(gw.ReasonNoRoute, "no route matches host and path")
 	}
 	head, refusal := c.handler.opts.Callers.Decode(c.in.Header)
@@ -103,7 +105,7 @@
 	}
 	if c.service.DividedByKey {
 		var refusal *gw.Refusal
-		if c.key, refusal = requestKey(c.route, c.in); refusal != nil {
+		if c.key, refusal = requestKey(c.route, c.in, c.path); refusal != nil {
 			return refusal
 		}
 	}
@@ -140,6 +142,8 @@
 		return gw.Refuse(gw.ReasonBadRequest, "the request headers are too large")
 	case !strings.HasPrefix(c.in.URL.Path, "/") || hasDotSegment(c.in.URL.Path):
 		return gw.Refuse(gw.ReasonBadRequest, "the path does not start with a slash or has a dot segment")
+	case !gwforward.CanSendPath(c.in.URL, c.path):
+		return gw.Refuse(gw.ReasonBadRequest, "the path starts with two slashes and has characters that need encoding")
 	}
 	return nil
 }
@@ -162,7 +166,7 @@
 		if !service.DividedByKey {
 			return gwsplit.AnyRegion
 		}
-		key, refusal := requestKey(c.route, c.in)
+		key, refusal := requestKey(c.route, c.in, c.path)
 		if refusal != nil {
 			return gwsplit.RemoteRegion
 		}
--- a/internal/request/gwentry/entry_test.go
+++ b/internal/request/gwentry/entry_test.go
@@ -69,3 +69,37 @@
 		require.Equal(t, 1, sys.pool.Open(server), "the connection to the server was not reused")
 	})
 }
+
+// Guards against a path that reaches the server as that of another thing, because one character in it is one that most
+// callers encode.
+func TestUnusualPathsPassUnchanged(t *testing.T) {
+	viaRelayAndLocal(t, func(t *testing.T, local bool) {
+		var uri string
+		server := echoServer(t, func(_ http.ResponseWriter, r *http.Request) { uri = r.RequestURI })
+		sys := newSystem(t, setup{servers: map[gw.ServerName]string{"s1": server}, divided: true, local: local})
+		for _, each := range []struct{ sent, runs, key string }{
+			{"/names/van%2Fdam|3?q=a|b", "/names/van%2Fdam|3?q=a|b", "van/dam|3"},
+			{"/names/Zeeën%2FNoord", "/names/Zeeën%2FNoord", "Zeeën/Noord"},
+			{"/names/{id}%2F7/x", "/names/{id}%2F7/x", "{id}/7"},
+			{"/names/a%2Fb#c", "/names/a%2Fb#c", "a/b#c"},
+			{"/names//a%2F|", "", ""},
+			{"/names/a%2fb", "/names/a%2fb", "a/b"},
+			{"http://names/names/a%2Fb|?", "/names/a%2Fb|?", "a/b|"},
+			{"//names/a%2Fb|", "", ""},
+		} {
+			uri = ""
+			conn := sys.dialTo(t)
+			_, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: names\r\nConnection: close\r\n%s: harbour\r\n\r\n",
+				each.sent, gw.HeaderTenant)
+			require.NoError(t, err)
+			_, err = io.ReadAll(conn)
+			require.NoError(t, err)
+			if each.key == "" {
+				require.Empty(t, uri, each.sent)
+				continue
+			}
+			require.Equal(t, each.runs, uri, each.sent)
+			require.Equal(t, each.key, sys.router.calls[len(sys.router.calls)-1].Key)
+		}
+	})
+}
--- a/internal/request/gwentry/index.go
+++ b/internal/request/gwentry/index.go
@@ -108,8 +108,8 @@
 	return ok && (rest == "" || rest[0] == '/')
 }
 
-// requestKey extracts the key of a request from the place that the route names.
-func requestKey(route gw.Route, r *http.Request) (string, *gw.Refusal) {
+// requestKey extracts the key of a request from the place that the route names. path is the path as received.
+func requestKey(route gw.Route, r *http.Request, path string) (string, *gw.Refusal) {
 	if route.Key == nil {
 		return "", gw.Refuse(gw.ReasonNoRoute, "the route does not define where its requests carry the key")
 	}
@@ -125,7 +125,7 @@
 			key = found[0]
 		}
 	case gw.KeyFromPathSegment:
-		key, ok = keySegment(r.URL.EscapedPath(), route)
+		key, ok = keySegment(path, route)
 	}
 	if !ok || key == "" {
 		return "", gw.Refuse(gw.ReasonBadRequest, "the request must carry exactly one key")
--- a/internal/request/gwentry/preview.go
+++ b/internal/request/gwentry/preview.go
@@ -5,6 +5,7 @@
 	"net/url"
 
 	gw "github.com/geraniumworks/geraniumworks"
+	"github.com/geraniumworks/geraniumworks/internal/request/gwforward"
 )
 
 // RouteOf returns the route that a request with the host and the path would take. The path may have a query.
@@ -13,7 +14,7 @@
 	if err != nil {
 		return gw.Route{}, false
 	}
-	return newConfigIndex(cfg).route(host, u.EscapedPath())
+	return newConfigIndex(cfg).route(host, gwforward.ReceivedPath(u, path))
 }
 
 // KeyOf returns the key that a request with the path and its query would carry on the route, or the refusal for a
@@ -23,5 +24,5 @@
 	if err != nil {
 		return "", gw.Refuse(gw.ReasonBadRequest, "the path is not valid")
 	}
-	return requestKey(route, &http.Request{Method: method, URL: u, Header: http.Header{}})
+	return requestKey(route, &http.Request{Method: method, URL: u, Header: http.Header{}}, gwforward.ReceivedPath(u, path))
 }
--- a/internal/request/gwforward/request.go
+++ b/internal/request/gwforward/request.go
@@ -31,8 +31,9 @@
 	Regions []gw.RegionName
 
 	Method string
-	// URL has the path and the query of the request.
+	// URL has the path and the query of the request. Path is the path as it was received, empty for that of URL.
 	URL  *url.URL
+	Path string
 	Host string
 	// Header holds the headers as received. Only end-to-end headers are passed on.
 	Header http.Header
@@ -155,15 +156,17 @@
 		}
 	}
 	out := &http.Request{
-		Method:     r.Method,
-		URL:        &url.URL{Scheme: "http", Host: r.Address, Path: r.URL.Path, RawPath: r.URL.RawPath},
+		Method: r.Method,
+		URL: withPath(url.URL{
+			Scheme: "http", Host: r.Address, Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery,
+			ForceQuery: r.URL.ForceQuery,
+		}, r.Path),
 		Proto:      "HTTP/1.1",
 		ProtoMajor: 1,
 		ProtoMinor: 1,
 		Header:     h,
 		Host:       r.Host,
 	}
-	out.URL.RawQuery, out.URL.ForceQuery = r.URL.RawQuery, r.URL.ForceQuery
 	if body != nil {
 		out.Body, out.ContentLength = body, r.Body.length
 		if r.needsConsent() {
