gwlease: the cold time of a server does not follow the time of day

Now it is counted from when the entry was seen. Left: the end that an entry passed between hosts names is read by the clock of the host that gets it.

--- a/internal/process/gwlease/hold.go
+++ b/internal/process/gwlease/hold.go
@@ -114,7 +114,8 @@
 		// A new incarnation must be asked for its status before its next renewal is due.
 		s.sendAt = now
 		if e.WarmAt > 0 {
-			s.coldUntil = later(s.coldUntil, time.UnixMilli(e.WarmAt))
+			// Counted from now on, so that a step of the time of day does not end the cold time early.
+			s.coldUntil = later(s.coldUntil, now.Add(time.UnixMilli(e.WarmAt).Sub(now)))
 		}
 	}
 	s.entry, s.listed = e, true
