--- a/internal/request/gwrelay/parse.go
+++ b/internal/request/gwrelay/parse.go
@@ -49,7 +49,8 @@
 		Repeatable: values[gw.HeaderRepeatable] == "true",
 		Deadline:   now.Add(time.Duration(left) * time.Millisecond),
 		Class:      gw.CostClass(gwforward.DecodeName(values[gw.HeaderCostClass])),
-		Method:     in.Method, URL: in.URL, Path: gwforward.ReceivedPath(in.URL, in.RequestURI), Host: in.Host, Header: in.Header,
+		Method:     in.Method, URL: in.URL, Path: gwforward.ReceivedPath(in.URL, in.RequestURI),
+		Host: in.Host, Header: in.Header,
 	}
 	if value := values[gw.HeaderRegions]; value != "" {
 		var ok bool
