gwlease: a controller records that those before it have stopped

It proves that of the one in the record by a probe, but knows nothing of those before it, since its process is new, and waits until their authority has ended, 21 s. That the controller in the record had proved it was known to that process only. It shows once the cell has had two controllers. Ruled out: the probe itself, which is answered by another process at once. Now a controller that has proved it says so in its cell with its next commit, of which it has many; no commit is added.

--- a/internal/process/gwlease/commit.go
+++ b/internal/process/gwlease/commit.go
@@ -28,6 +28,9 @@
 }
 
 func (c *Core) startWrite(next gw.Assignment, takeover bool, events []Event) {
+	if !takeover {
+		next = c.withPredecessorsStopped(next)
+	}
 	next = next.WithRevision(c.nextRevision(), c.opts.writeIDs())
 	c.write = &write{
 		expected: c.record.version, next: next, takeover: takeover, creates: c.record.absent, events: events,
--- a/internal/process/gwlease/options.go
+++ b/internal/process/gwlease/options.go
@@ -81,6 +81,7 @@
 	noEpochCheck        bool // a commit is repeated on a record that names another controller
 	grantBeforeCommit   bool // the new owner is granted a range while its commit is outstanding
 	moveUnfenced        bool // a new controller treats servers that it has not reached as expired
+	clearUnproven       bool // a controller records that its predecessors have stopped without proof
 	replaceSingleSender bool // a lease for an unchecked server is replaced when it has expired
 	noFreshRead         bool // a session starts without a read after the incarnation was seen
 	trustOldIncarnation bool // a late answer of a former incarnation counts as a restart
--- a/internal/process/gwlease/predecessors.go
+++ b/internal/process/gwlease/predecessors.go
@@ -16,6 +16,8 @@
 	stoppedAt time.Time
 	// answeredAt is when the controller's process last answered a probe.
 	answeredAt time.Time
+	// clearedAt is when the record was first seen to say that all controllers before this one had stopped.
+	clearedAt time.Time
 }
 
 // coveredEpochs is the claim of a handover: since at, no controller up to epoch renews any owner that had to be
@@ -33,17 +35,38 @@
 		return
 	}
 	if n := len(c.epochs); n > 0 {
-		if cell.Epoch <= c.epochs[n-1].cell.Epoch {
+		last := &c.epochs[n-1]
+		if cell.Epoch == last.cell.Epoch && cell.PredecessorsStopped && last.clearedAt.IsZero() {
+			last.clearedAt = c.now
+		}
+		if cell.Epoch <= last.cell.Epoch {
 			return
 		}
 		if cell.Epoch != c.epochs[n-1].cell.Epoch+1 {
 			c.epochs = nil
 		}
 	}
-	c.epochs = append(c.epochs, recordedEpoch{cell: cell, recordedAt: c.now})
+	e := recordedEpoch{cell: cell, recordedAt: c.now}
+	if cell.PredecessorsStopped {
+		e.clearedAt = c.now
+	}
+	c.epochs = append(c.epochs, e)
 	c.forgetEpochs()
 }
 
+// withPredecessorsStopped notes in a record to be written what this controller has proved.
+func (c *Core) withPredecessorsStopped(next gw.Assignment) gw.Assignment {
+	cell, ok := next.Cell(c.opts.cell.DataCentre)
+	if !ok || !c.controls() || cell.Epoch != c.control.epoch || cell.PredecessorsStopped {
+		return next
+	}
+	if since, stopped := c.predecessorsStopped(); !c.opts.faults.clearUnproven && (!stopped || c.now.Before(since)) {
+		return next
+	}
+	cell.PredecessorsStopped = true
+	return next.WithCell(cell)
+}
+
 // forgetEpochs drops controllers whose authority has expired, except the one before the current.
 func (c *Core) forgetEpochs() {
 	for len(c.epochs) > 2 && !c.now.Before(c.authorityEndBefore(c.epochs[1].recordedAt)) {
@@ -58,8 +81,8 @@
 }
 
 // predecessorsStopped returns the time since which no earlier controller has renewed any server, and whether that
-// time has come. It goes back through the known controllers until a handover or the expiry of authority covers all
-// earlier ones.
+// time has come. It goes back through the known controllers until a handover, the record or the expiry of authority
+// covers all earlier ones.
 func (c *Core) predecessorsStopped() (time.Time, bool) {
 	since, stopped := c.recordedPredecessorsStopped()
 	if c.restore.era == 0 {
@@ -89,6 +112,9 @@
 			return time.Time{}, false
 		}
 		latest = later(latest, c.stoppedSince(c.epochs[i]))
+		if !c.epochs[i].clearedAt.IsZero() {
+			return later(latest, c.epochs[i].clearedAt), true
+		}
 		below = c.epochs[i].cell.Epoch
 		byTime = c.authorityEndBefore(c.epochs[i].recordedAt)
 	}
--- a/ownership.go
+++ b/ownership.go
@@ -100,6 +100,9 @@
 	// Since is the revision at which the epoch began. Grants to servers with range fences bear at least this token,
 	// so that a server that has one refuses the controllers before.
 	Since Revision `json:"since,omitempty"`
+	// PredecessorsStopped is set once the controller has proved that all controllers of earlier epochs have stopped, so
+	// that those after it need not prove that again. They may know none of them, after all hosts have lost power.
+	PredecessorsStopped bool `json:"predecessors-stopped,omitempty"`
 }
 
 // Assignment is the record of one key space: its ranges, their owners, and the controllers of its cells.
