--- a/internal/connection/gwbudget/ledger_test.go
+++ b/internal/connection/gwbudget/ledger_test.go
@@ -78,8 +78,8 @@
 	require.Positive(t, turnedAway)
 }
 
-// Guards against more work that is begun than the memory bears, while the connections that were turned away for it still
-// hold what they had: 250 callers with heads of 2,401 lines took a process of 144 MB to 178 MB.
+// Guards against more work that is begun than the memory bears, while the connections that were turned away for it
+// still hold what they had: 250 callers with heads of 2,401 lines took a process of 144 MB to 178 MB.
 func TestWhatIsTurnedAwayCountsUntilItIsClosed(t *testing.T) {
 	const limit = 8 << 20
 	l := gwbudget.New(gwbudget.Limits{Bytes: limit})
