gwpeer, gwquota, gwpipeline: the test of late answers, and what a read-through found

A coordinator that failed at the start was passed over for 8 s at its next failure, without a line in the log. What is not begun before its turn is reported to the budget at once.

--- a/internal/connection/gwpeer/gwpeer_test.go
+++ b/internal/connection/gwpeer/gwpeer_test.go
@@ -43,6 +43,11 @@
 	return gw.PullReply{Instance: "i1"}, nil
 }
 
+func (h *handler) ShareQuota(ctx context.Context, _ gw.QuotaRequest) (gw.QuotaReply, error) {
+	_, err := h.Pull(ctx, gw.PullRequest{})
+	return gw.QuotaReply{}, err
+}
+
 func serve(t *testing.T, listener net.Listener, h gwpeer.Handler) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -142,3 +147,31 @@
 		t.Fatal("the pull still waits")
 	}
 }
+
+// Guards against a busy host that is sent a new connection for each call about quotas that it answers late, and against
+// a connection for them that has gone silent and is kept.
+func TestLateAnswersAboutQuotasKeepTheConnection(t *testing.T) {
+	t.Parallel()
+	plain, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	listener := gwsilence.Wrap(plain)
+	h := &handler{hold: make(chan struct{}, 10)}
+	serve(t, listener, h)
+	client := gwpeer.NewClient()
+	t.Cleanup(func() { require.NoError(t, client.Close()) })
+	share := func(timeout time.Duration) error {
+		ctx, cancel := context.WithTimeout(t.Context(), timeout)
+		defer cancel()
+		_, err := client.ShareQuota(ctx, listener.Addr().String(), gw.QuotaRequest{})
+		return err
+	}
+	require.ErrorIs(t, share(50*time.Millisecond), context.DeadlineExceeded)
+	h.hold <- struct{}{}
+	h.hold <- struct{}{}
+	require.NoError(t, share(5*time.Second))
+	require.Equal(t, 1, listener.Accepted())
+	require.Eventually(t, func() bool {
+		require.ErrorIs(t, share(250*time.Millisecond), context.DeadlineExceeded)
+		return listener.Accepted() == 2
+	}, 10*time.Second, time.Millisecond)
+}
--- a/internal/connection/gwpipeline/conn.go
+++ b/internal/connection/gwpipeline/conn.go
@@ -241,6 +241,7 @@
 			}
 		}
 		delete(c.held.pending, number)
+		c.report()
 	}
 }
 
--- a/internal/process/gwquota/loop.go
+++ b/internal/process/gwquota/loop.go
@@ -611,10 +611,11 @@
 			limit = failuresAtStart
 		}
 		switch {
-		case t.failures == limit:
+		case t.failures < limit:
+		case t.suspect.IsZero():
 			l.log.Warn("coordinator of quotas does not answer", "host-asked", string(r.host), "error", r.err)
 			t.suspect = now.Add(suspectTime)
-		case t.failures > limit:
+		default:
 			t.suspect = now.Add(longSuspectTime)
 		}
 	} else {
