gwpool: a reset during an upload is no end of an answer

The system reports the error of a reset or of a time-out to one call only. When the write of the upload gets it, the read that follows gets io.EOF, which net/http takes for the end of the body. The entry point then ended the chunked answer to its caller in order.

Fix: a connection returns io.EOF only if no write on it has failed. A write that is in progress is waited for, because it may have got the error without having returned; a write that hangs ends with the time-out for silence or the deadline of the request.

--- a/internal/connection/gwpool/wire.go
+++ b/internal/connection/gwpool/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -28,6 +29,10 @@
 	sealed  bool
 	writing bool
 	sent    int64
+	// writeFailed is set when a write has failed, written is closed when the write in progress ends. It is nil when nobody
+	// waits for that.
+	writeFailed bool
+	written     chan struct{}
 	// matched is how many bytes of answerStart the answer has begun with.
 	matched int
 	// reading is set while net/http waits for bytes, so that it has taken all that arrived before.
@@ -94,7 +99,7 @@
 }
 
 // Read reads from the connection. It fails when bytes arrive while no request is under way, and when an answer does not
-// begin as one.
+// begin as one. It returns io.EOF only when the other side has ended the connection in order.
 func (w *wire) Read(p []byte) (int, error) {
 	w.mu.Lock()
 	w.reading = true
@@ -107,6 +112,9 @@
 	if err != nil {
 		w.failed()
 	}
+	if errors.Is(err, io.EOF) && !w.endedInOrder() {
+		err = io.ErrUnexpectedEOF
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.reading = false
@@ -116,6 +124,24 @@
 	return n, err
 }
 
+// endedInOrder reports whether a read has met the end of the connection because the other side closed it in order. The
+// system reports a reset or a time-out only once: when a write gets the error, the read gets an ordinary end. A write
+// in progress is waited for, since it may have got the error and not returned yet.
+func (w *wire) endedInOrder() bool {
+	w.mu.Lock()
+	if w.writing {
+		if w.written == nil {
+			w.written = make(chan struct{})
+		}
+		written := w.written
+		w.mu.Unlock()
+		<-written
+		w.mu.Lock()
+	}
+	defer w.mu.Unlock()
+	return !w.writeFailed
+}
+
 // inspect checks the beginning of an answer. The caller holds mu.
 func (w *wire) inspect(p []byte) error {
 	if len(p) == 0 {
@@ -149,6 +175,11 @@
 	}
 	w.mu.Lock()
 	w.writing = false
+	w.writeFailed = w.writeFailed || err != nil
+	if w.written != nil {
+		close(w.written)
+		w.written = nil
+	}
 	w.sent += int64(n)
 	w.mu.Unlock()
 	if err != nil {
