gwpool: an answer that ended in order is not held up by its upload

The end of the answer was held until the write of the upload ended, which it did only with the time-out for silence or a reset, and the answer was cut off.

Cause: at the end of the connection a write in progress was waited for, because it may have got the error of a reset. One that hangs behind full buffers has got none.

Fix: the system is asked instead, without waiting. A reset or a time-out closes both directions of the connection (POLLHUP), an ordinary close by the other side does not. Where the system cannot be asked, as on a connection that is not TCP itself, the end does not count as in order; answers of relays over TLS always have a length or chunks.

--- a/internal/connection/gwpool/wire.go
+++ b/internal/connection/gwpool/wire.go
@@ -29,10 +29,8 @@
 	sealed  bool
 	writing bool
 	sent    int64
-	// writeFailed is set when a write has failed, written is closed when the write in progress ends. It is nil when nobody
-	// waits for that.
+	// writeFailed is set when a write has failed.
 	writeFailed bool
-	written     chan struct{}
 	// matched is how many bytes of answerStart the answer has begun with.
 	matched int
 	// reading is set while net/http waits for bytes, so that it has taken all that arrived before.
@@ -125,21 +123,12 @@
 }
 
 // endedInOrder reports whether a read has met the end of the connection because the other side closed it in order. The
-// system reports a reset or a time-out only once: when a write gets the error, the read gets an ordinary end. A write
-// in progress is waited for, since it may have got the error and not returned yet.
+// system reports a reset or a time-out only once: when a write gets the error, the read gets an ordinary end.
 func (w *wire) endedInOrder() bool {
 	w.mu.Lock()
-	if w.writing {
-		if w.written == nil {
-			w.written = make(chan struct{})
-		}
-		written := w.written
-		w.mu.Unlock()
-		<-written
-		w.mu.Lock()
-	}
 	defer w.mu.Unlock()
-	return !w.writeFailed
+	// A write in progress may have got the error and not returned yet.
+	return !w.writeFailed && (!w.writing || !hungUp(w.Conn))
 }
 
 // inspect checks the beginning of an answer. The caller holds mu.
@@ -176,10 +165,6 @@
 	w.mu.Lock()
 	w.writing = false
 	w.writeFailed = w.writeFailed || err != nil
-	if w.written != nil {
-		close(w.written)
-		w.written = nil
-	}
 	w.sent += int64(n)
 	w.mu.Unlock()
 	if err != nil {
