gwpool: an answer with a blank in the name of a header field is none

The line was dropped and the answer passed on; with a blank in the name of Content-Length or Transfer-Encoding the body was not the server's: raw chunks, or whatever came until the connection ended (MIXED). A refusal with such a head was believed too.

Cause: net/http accepts blanks in names, and does not interpret these fields. It refuses control bytes, tabs and empty names, and control bytes in values, so that these cases were handled already; their tests stay.

Fix: the pool checks the names of the head before it returns an answer, which covers servers and relays, and closes the connection. The caller gets 502 with bad-answer, which promises nothing, and idempotent requests may be sent again.

--- a/internal/connection/gwpool/conn.go
+++ b/internal/connection/gwpool/conn.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/geraniumworks/geraniumworks/internal/connection/gwadapter"
 )
 
 // Conn is a connection that runs one request at a time. Exactly one of Release and Discard ends its use.
@@ -32,12 +34,21 @@
 }
 
 // RoundTrip sends the request once. A silence of the server of progressMilliseconds ends the request: Silent
-// then reports true, and the idle connections of the same or a greater age are closed.
+// then reports true, and the idle connections of the same or a greater age are closed. RoundTrip returns
+// gwadapter.ErrBadHead for an answer whose head does not follow HTTP.
 func (c *Conn) RoundTrip(req *http.Request, progressMilliseconds int64) (*http.Response, error) {
 	c.holds.Store(0)
 	c.wire.begin()
 	c.watch(time.Duration(progressMilliseconds) * time.Millisecond)
-	return c.cc.RoundTrip(req)
+	resp, err := c.cc.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	if err := gwadapter.CheckHead(resp); err != nil {
+		_ = resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
 }
 
 // NoteRefused records the caller's id of a request that the server has refused on the connection.
--- a/internal/request/gwforward/forward.go
+++ b/internal/request/gwforward/forward.go
@@ -10,6 +10,7 @@
 	"time"
 
 	gw "github.com/geraniumworks/geraniumworks"
+	"github.com/geraniumworks/geraniumworks/internal/connection/gwadapter"
 	"github.com/geraniumworks/geraniumworks/internal/connection/gwpool"
 )
 
@@ -155,6 +156,8 @@
 		}
 	}
 	switch {
+	case errors.Is(err, gwadapter.ErrBadHead):
+		return gw.Refuse(gw.ReasonBadAnswer, "the head of the server's answer does not follow HTTP")
 	case conn.Silent():
 		return gw.Refuse(gw.ReasonNoProgress, "the server sent nothing for longer than the service permits")
 	case errors.Is(ctx.Err(), context.DeadlineExceeded) || !time.Now().Before(r.Deadline):
