--- a/internal/request/gwforward/forward.go
+++ b/internal/request/gwforward/forward.go
@@ -235,10 +235,7 @@
 			return "the answer belongs to another request"
 		}
 	}
-	switch {
-	case resp.StatusCode < http.StatusOK:
-		return "the server changed the protocol"
-	case !Delimited(resp):
+	if !Delimited(resp) {
 		return "the answer has neither a declared length nor chunked encoding, so that its end cannot be told from a cut"
 	}
 	return ""
