--- a/internal/connection/gwadapter/head.go
+++ b/internal/connection/gwadapter/head.go
@@ -17,8 +17,21 @@
 // ErrBadHead reports an answer whose head does not follow HTTP.
 var ErrBadHead = errors.New("bad head of an answer")
 
-// CheckHead returns ErrBadHead for an answer that net/http accepts although its head does not follow HTTP.
-func CheckHead(resp *http.Response) error {
+// RoundTrip makes a call. It returns ErrBadHead, and closes the body, for an answer that net/http accepts although its
+// head does not follow HTTP. Nothing in such an answer may be used.
+func RoundTrip(transport http.RoundTripper, req *http.Request) (*http.Response, error) {
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	if err := checkHead(resp); err != nil {
+		_ = resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
+}
+
+func checkHead(resp *http.Response) error {
 	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
 		return eris.Wrapf(ErrBadHead, "status %d", resp.StatusCode)
 	}
--- a/internal/connection/gwpool/conn.go
+++ b/internal/connection/gwpool/conn.go
@@ -40,15 +40,7 @@
 	c.holds.Store(0)
 	c.wire.begin()
 	c.watch(time.Duration(progressMilliseconds) * time.Millisecond)
-	resp, err := c.cc.RoundTrip(req)
-	if err != nil {
-		return nil, err
-	}
-	if err := gwadapter.CheckHead(resp); err != nil {
-		_ = resp.Body.Close()
-		return nil, err
-	}
-	return resp, nil
+	return gwadapter.RoundTrip(c.cc, req)
 }
 
 // NoteRefused records the caller's id of a request that the server has refused on the connection.
