gwserver, gwstore, gwhostlist: answers with blanks in names of header fields are not believed

The clients of the project's own protocols believed answers of servers, of the store and of the host list in whose head the name of a field held a blank: a status, a value, a refusal or a listing counted as it stood.

Impossible statuses, control bytes and tabs passed: these clients know each status that they accept.

Fix: the three clients make their calls through gwadapter.RoundTrip. A write to the store stays unknown, a call to a server counts as unanswered, a listing is not replaced.

--- a/internal/connection/gwhostlist/list.go
+++ b/internal/connection/gwhostlist/list.go
@@ -137,7 +137,7 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	resp, err := l.transport.RoundTrip(req)
+	resp, err := gwadapter.RoundTrip(l.transport, req)
 	if err != nil {
 		return 0, nil, err
 	}
--- a/internal/connection/gwserver/exchange.go
+++ b/internal/connection/gwserver/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	gw "github.com/geraniumworks/geraniumworks"
+	"github.com/geraniumworks/geraniumworks/internal/connection/gwadapter"
 )
 
 // answerBytes bounds the answer to a control message.
@@ -39,7 +40,7 @@
 	if err != nil {
 		return reply{}, err
 	}
-	resp, err := c.transport.RoundTrip(req)
+	resp, err := gwadapter.RoundTrip(c.transport, req)
 	if err != nil {
 		return reply{}, unreachable(ctx, server, err)
 	}
--- a/internal/connection/gwstore/exchange.go
+++ b/internal/connection/gwstore/exchange.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/geraniumworks/geraniumworks/internal/connection/gwadapter"
 )
 
 // request is one call to the store, without its endpoint.
@@ -40,7 +42,7 @@
 	if err != nil {
 		return reply{}, err
 	}
-	resp, err := s.transport.RoundTrip(hr)
+	resp, err := gwadapter.RoundTrip(s.transport, hr)
 	if err != nil {
 		return reply{}, err
 	}
