gwpeer: a message with a broken head closes its connection

Hosts believed messages of other hosts in whose head the name of a field held a blank or a control byte, or a line had no name, no colon, or a status, or that named two lengths: the last one counted.

Cause: lines that are not exactly the one with the length were skipped.

Fix: each line of a head must be a field with a valid name, and only one may name the length. Otherwise the connection is closed, and calls on it fail as on one that is lost.

--- a/internal/connection/gwpeer/codec.go
+++ b/internal/connection/gwpeer/codec.go
@@ -10,8 +10,12 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/jsonrpc2"
+	"golang.org/x/net/http/httpguts"
 )
 
+// lengthField is the field of the head that holds the length of the object in bytes.
+const lengthField = "Content-Length"
+
 const (
 	// maxHeadLines bounds the lines before an object. A line is bounded by the buffer of the stream, 4 KiB.
 	maxHeadLines = 8
@@ -55,14 +59,28 @@
 		case len(line) == 0:
 			return length, nil
 		}
-		value, ok := bytes.CutPrefix(line, []byte("Content-Length: "))
-		if !ok {
-			continue
-		}
-		length, err = strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
-		if err != nil || length <= 0 || length > maxObjectBytes {
-			return 0, eris.Wrapf(errBadObject, "length %.20q", value)
+		if length, err = parseField(line, length); err != nil {
+			return 0, err
 		}
 	}
 	return 0, eris.Wrap(errBadObject, "the head has too many lines")
 }
+
+// parseField parses a line of the head. It returns the length of the object, which is zero while no line has named it;
+// length is that of the lines before.
+func parseField(line []byte, length int64) (int64, error) {
+	name, value, ok := bytes.Cut(line, []byte(":"))
+	switch {
+	case !ok || !httpguts.ValidHeaderFieldName(string(name)):
+		return 0, eris.Wrapf(errBadObject, "line %.40q of the head is no field", line)
+	case string(name) != lengthField:
+		return length, nil
+	case length != 0:
+		return 0, eris.Wrap(errBadObject, "several lengths")
+	}
+	length, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+	if err != nil || length <= 0 || length > maxObjectBytes {
+		return 0, eris.Wrapf(errBadObject, "length %.20q", value)
+	}
+	return length, nil
+}
