gwadapter: an answer of another major version of HTTP is none

Callers got answers whose status line named HTTP/0.9 or HTTP/2.0 on a connection that speaks HTTP/1.1, and the clients of the store, the servers and the host list believed them.

Cause: net/http takes any version of two digits.

Fix: the check of heads, which all these readers share, takes the major version 1 only. HTTP/1.0 stays as it was.

The three packages' tests of broken answers passed 5 times with the race detector; the packages of internal/connection, internal/request and internal/standin passed once.

--- a/internal/connection/gwadapter/head.go
+++ b/internal/connection/gwadapter/head.go
@@ -32,6 +32,9 @@
 }
 
 func checkHead(resp *http.Response) error {
+	if resp.ProtoMajor != 1 {
+		return eris.Wrapf(ErrBadHead, "version %q", resp.Proto)
+	}
 	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
 		return eris.Wrapf(ErrBadHead, "status %d", resp.StatusCode)
 	}
